--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -26,6 +26,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** One real broker: the fronts, the reducer, the ways to the stores and the watch, on one event loop. */
 public final class Broker {
@@ -33,6 +34,10 @@
     private static final long GRACE_US = 700_000;
     /** A list from before the start will do if discovery says nothing for so long. */
     private static final long KNOWN_WILL_DO_US = 1_000_000;
+    /** Of the descriptors: clients with queries hold a third at most, and others are let in until it is half. */
+    private static final int CLIENTS_PART = 2;
+    /** Connections to stores; the last quarter is the program's own. */
+    private static final int STORES_PART = 4;
     private final Vertx vertx;
     private final Config config;
     private final Consumer<String> log;
@@ -62,11 +67,12 @@
         loop = new Loop(vertx, context, reducer, clock, config.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(config.settings());
-        http = new HttpFront(vertx, exchanges, queries, loop, clock, this::ready,
+        http = new HttpFront(vertx, exchanges, queries, loop, clock, config.sockets() / CLIENTS_PART, this::ready,
                 () -> reducer.counters().lines());
         Reports reports = new Reports(config.settings().reportFields());
         FrameTransport.Shared frames =
-                new FrameTransport.Shared(vertx, config.settings().limits(), reports, clock, loop);
+                new FrameTransport.Shared(vertx, config.settings().limits(), config.sockets() / STORES_PART, reports,
+                        clock, loop);
         // no class of Arrow is loaded unless this front is on or a store speaks Flight
         flight = config.fronts().flight() == null ? null
                 : new FlightFront(vertx, context, exchanges, queries, loop, clock);
@@ -78,10 +84,10 @@
         }
         Config.DnsService dns = config.fronts().dnsSd();
         roster = dns == null
-                ? new Watch(vertx, config.discovery().host(), config.discovery().port(),
-                        config.known().getLong("generation", 0), reader, loop, clock)
+                ? new Watch(vertx, config.known().getLong("generation", 0), reader, loop, clock)
                 : new DnsSd(vertx, context, dns.server().host(), dns.server().port(), dns.service(), reader, loop, clock);
         loop.edges(this::carryOut);
+        loop.accept(new Event.DiscoveryNamed(config.discovery().host(), config.discovery().port()));
     }
 
     private Transport open(Context context, FrameTransport.Shared frames, Reports reports, StoreEntry entry) {
@@ -138,6 +144,18 @@
         return ended.future();
     }
 
+    /** The configuration was read again; of all that it holds only discovery's address may move. */
+    public void reload(Supplier<Config.Address> discovery) {
+        vertx.executeBlocking(discovery::get).onComplete(read -> {
+            if (read.succeeded()) {
+                loop.accept(new Event.DiscoveryNamed(read.result().host(), read.result().port()));
+            } else {
+                log.accept("the configuration stays as it was: " + read.cause().getMessage());
+                loop.accept(new Event.Noted(Count.BAD_CONFIGURATIONS));
+            }
+        });
+    }
+
     /** The port of the Flight front once it listens, else 0. */
     public int flightPort() {
         return flightPort;
@@ -162,6 +180,8 @@
             stores.changed(e.store(), e.entry());
         } else if (effect instanceof Effect.Resync) {
             roster.resync();
+        } else if (effect instanceof Effect.FollowDiscovery e) {
+            roster.follow(e.host(), e.port());
         } else if (effect instanceof Effect.Log e) {
             log.accept(e.text());
         } else if (effect instanceof Effect.Finished) {
--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -60,6 +60,10 @@
             }
             return Config.read(file, fronts, System.getenv());
         }
+
+        Config.Address discovery() {
+            return Config.discoveryAgain(file, fronts, System.getenv());
+        }
     }
 
     @Command(name = "serve", description = "Runs one broker on real sockets until it is asked to end.",
@@ -93,6 +97,11 @@
                     started.countDown();
                 });
             });
+            Signals.on("HUP", () -> context.runOnContext(v -> {
+                if (broker[0] != null) {
+                    broker[0].reload(told::discovery);
+                }
+            }));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> finish(context, broker[0]), "finish"));
             started.await();
             if (fault[0] != null) {
--- /dev/null
+++ b/src/main/java/dunlinhitch/Signals.java
@@ -0,0 +1,34 @@
+package dunlinhitch;
+
+import java.lang.reflect.Proxy;
+
+/**
+ * Signals that the JDK has no public interface for; {@code sun.misc.Signal} is open to all but not to be named
+ * without a warning. A JVM that does not heed SIGHUP ends on it.
+ */
+final class Signals {
+    private Signals() {
+    }
+
+    /** Runs the task, on a thread of the JVM's, whenever the process gets the signal of that name. */
+    static void on(String name, Runnable task) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object proxy = Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler},
+                    (self, method, arguments) -> switch (method.getName()) {
+                        case "handle" -> {
+                            task.run();
+                            yield null;
+                        }
+                        case "hashCode" -> System.identityHashCode(self);
+                        case "equals" -> self == arguments[0];
+                        default -> name;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("no signal " + name + " on this JVM", e);
+        }
+    }
+}
--- a/src/main/java/dunlinhitch/config/Config.java
+++ b/src/main/java/dunlinhitch/config/Config.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.Map;
 
 /**
@@ -15,7 +16,13 @@
  * {@code known} is the list of stores as the broker last had it, empty if there was none.
  */
 public record Config(String name, Address listen, Address discovery, long seed, JsonObject known,
-        Routing.Settings settings, Fronts fronts) {
+        int sockets, Routing.Settings settings, Fronts fronts) {
+    /** Where the file does not say how many descriptors the process may hold. */
+    public static final int SOCKETS = 1024;
+    private static final int LEAST_SOCKETS = 64;
+
+    private static final String DISCOVERY = "ROUTER_DISCOVERY";
+
     /** What the file of fronts switches on; null: off. */
     public record Fronts(Address flight, DnsService dnsSd) {
         public static final Fronts NONE = new Fronts(null, null);
@@ -62,9 +69,10 @@
             JsonValue known = root.get("known");
             return new Config(env.getOrDefault("ROUTER_NAME", root.getString("name", "broker")),
                     Address.parse("listen", env.getOrDefault("ROUTER_LISTEN", root.getString("listen", ""))),
-                    Address.parse("discovery", env.getOrDefault("ROUTER_DISCOVERY", root.getString("discovery", ""))),
+                    Address.parse("discovery", env.getOrDefault(DISCOVERY, root.getString("discovery", ""))),
                     Long.parseUnsignedLong(root.getString("seed", "0"), 16),
                     known == null || known.isNull() ? Json.object() : known.asObject(),
+                    sockets(root.get("limits")),
                     SettingsReader.read(settings.asObject()), fronts);
         } catch (ConfigException e) {
             throw new ConfigException(file + ": " + e.getMessage());
@@ -73,6 +81,24 @@
         }
     }
 
+    private static int sockets(JsonValue limits) {
+        int sockets = limits == null || limits.isNull() ? SOCKETS : limits.asObject().getInt("sockets", SOCKETS);
+        if (sockets < LEAST_SOCKETS) {
+            throw new ConfigException("limits.sockets is under " + LEAST_SOCKETS + ": " + sockets);
+        }
+        return sockets;
+    }
+
+    /**
+     * Where discovery is by a file that has been replaced since the start. The file is read whole, so that one that
+     * is cut short moves nothing; here it goes before the environment, which still says what it did at the start.
+     */
+    public static Address discoveryAgain(Path file, Path frontsFile, Map<String, String> env) {
+        Map<String, String> rest = new HashMap<>(env);
+        rest.remove(DISCOVERY);
+        return read(file, frontsFile, rest).discovery();
+    }
+
     private static JsonObject json(Path file) {
         try {
             return Json.parse(Files.readString(file)).asObject();
--- a/src/main/java/dunlinhitch/core/Effect.java
+++ b/src/main/java/dunlinhitch/core/Effect.java
@@ -43,6 +43,10 @@
     record Resync() implements Effect {
     }
 
+    /** The list of stores is from now on asked for at that address. */
+    record FollowDiscovery(String host, int port) implements Effect {
+    }
+
     /** A line for the operators. */
     record Log(String text) implements Effect {
     }
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -35,6 +35,10 @@
         }
     }
 
+    /** The configuration names discovery's address: at the start, and whenever it was read again. */
+    record DiscoveryNamed(String host, int port) implements Event {
+    }
+
     /** The grace before the end is over: what is open is finished, and nothing new is taken. */
     record StopAsked() implements Event {
     }
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -51,6 +51,7 @@
     private long lastAttempt;
     private long lastProbe;
     private int lastStore;
+    private Event.DiscoveryNamed discovery;
     private boolean stopping;
     private boolean finished;
 
@@ -110,6 +111,8 @@
             probeOver(e.probe(), e.outcome(), e.report());
         } else if (event instanceof Event.RosterNews e) {
             rosterNews(e);
+        } else if (event instanceof Event.DiscoveryNamed e) {
+            discoveryNamed(e);
         } else if (event instanceof Event.StopAsked) {
             stopping = true;
         } else if (event instanceof Event.Noted e) {
@@ -359,6 +362,15 @@
         });
     }
 
+    /** The list that is held stands: what the new address knows of it comes from there. */
+    private void discoveryNamed(Event.DiscoveryNamed e) {
+        if (!e.equals(discovery)) {
+            counters.add(Count.DISCOVERY_MOVED, discovery == null ? 0 : 1);
+            discovery = e;
+            effects.add(new Effect.FollowDiscovery(e.host(), e.port()));
+        }
+    }
+
     private void change(StoreRow row, StoreEntry entry) {
         boolean same = row.entry.equals(entry) && row.toldUs != now;
         if (row.state() != entry.state()) {
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
@@ -5,15 +5,19 @@
 import dunlinhitch.core.Event;
 import dunlinhitch.decide.Routing.Outcome;
 import dunlinhitch.dispatch.CallText;
+import dunlinhitch.dispatch.ExactText;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.arrow.flight.FlightClient;
 import org.apache.arrow.flight.FlightStream;
 import org.apache.arrow.flight.Ticket;
 import org.apache.arrow.vector.FieldVector;
+import org.apache.arrow.vector.VarCharVector;
 import org.apache.arrow.vector.VectorSchemaRoot;
 
 /**
@@ -34,6 +38,8 @@
     private final long dueUs;
     /** Parts without their row; only the loop touches it. */
     private final Map<String, Long> open = new HashMap<>();
+    /** Parts that had their row, or were given up; only the loop touches it. */
+    private final Set<String> behind = new HashSet<>();
     private volatile FlightStream stream;
     private volatile boolean cancelled;
 
@@ -56,6 +62,7 @@
         String id = open.entrySet().stream().filter(e -> e.getValue() == attempt).map(Map.Entry::getKey).findFirst()
                 .orElse("");
         open.remove(id);
+        behind.add(id);
         if (open.isEmpty()) {
             cancel();
         }
@@ -111,8 +118,8 @@
             List<String> values = new ArrayList<>();
             for (String column : COLUMNS) {
                 FieldVector vector = root.getVector(column);
-                Object value = vector == null ? null : vector.getObject(i);
-                values.add(value == null ? "" : value.toString());
+                byte[] bytes = vector instanceof VarCharVector text ? text.get(i) : null;
+                values.add(bytes == null ? "" : ExactText.of(bytes));
             }
             rows.add(new Row(values.get(0), values.get(1), values.get(3), values.get(4)));
         }
@@ -120,8 +127,9 @@
     }
 
     private void take(Row row) {
-        Outcome outcome = CallText.end(row.end());
-        if (outcome == null) { // nothing that such a stream says can be trusted
+        Outcome outcome = row.id() == null || row.end() == null ? null : CallText.end(row.end());
+        boolean asked = open.containsKey(row.id()) || behind.contains(row.id());
+        if (outcome == null || row.value() == null || !asked) { // nothing that such a stream says can be trusted
             shared.events().accept(new Event.Noted(Count.BAD_FRAMES));
             cancel();
             ended();
@@ -129,7 +137,8 @@
         }
         Long attempt = open.remove(row.id());
         if (attempt != null) {
-            over.accept(new Event.AttemptOver(attempt, outcome, shared.reports().read(row.report()), row.value()));
+            behind.add(row.id());
+            over.accept(new Event.AttemptOver(attempt, outcome, shared.reports().read(row.report() == null ? "" : row.report()), row.value()));
         }
     }
 
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
@@ -3,6 +3,7 @@
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Effect.PartSend;
 import dunlinhitch.core.Event;
+import dunlinhitch.core.MicroClock;
 import dunlinhitch.decide.Routing.Outcome;
 import dunlinhitch.dispatch.CallText;
 import io.vertx.core.Future;
@@ -25,6 +26,10 @@
  */
 final class FrameConnection {
     private static final int MOST_ABANDONED = 256;
+    /** Replies whose second copy is known as such. */
+    private static final int MOST_ANSWERED = 64;
+    /** A frame that has begun is whole so soon after: it holds up all that is behind it. */
+    private static final long FRAME_US = 400_000;
     private static final int WRITE_QUEUE_BYTES = 512 * 1024;
     /** A wait of so long without a word is more than a busy store's. */
     private static final long SILENT_US = 1_000_000;
@@ -40,6 +45,7 @@
     private final Consumer<FrameConnection> onClosed;
     private final Map<String, Out> out = new LinkedHashMap<>();
     private final Set<String> abandoned = new LinkedHashSet<>();
+    private final Set<String> answered = new LinkedHashSet<>();
     private final List<List<PartSend>> waiting = new ArrayList<>();
     private final List<Long> waitingProbes = new ArrayList<>();
     private final Deque<Long> probes = new ArrayDeque<>();
@@ -48,6 +54,10 @@
     private boolean closed;
     private boolean leaving;
     private boolean silent;
+    /** Counts the frames that were within when a read ended; that one is waited for until its time. */
+    private long frameRound;
+    private long awaitedRound = -1;
+    private boolean within;
     private long usedUs;
     private long heardUs;
 
@@ -144,12 +154,7 @@
             return false;
         }
         out.remove(given.partId());
-        abandoned.add(given.partId());
-        if (abandoned.size() > MOST_ABANDONED) { // the oldest is of a query that is long over
-            Iterator<String> oldest = abandoned.iterator();
-            oldest.next();
-            oldest.remove();
-        }
+        remember(abandoned, given.partId(), MOST_ABANDONED);
         socket.write(Frames.frame('n', given.partId()));
         // a machine that vanished leaves its connections open and silent: what is new goes over a fresh one,
         // which fails soon and proves that nothing ran, or comes up
@@ -160,6 +165,16 @@
         return true;
     }
 
+    /** The oldest goes: it is of a query that is long over. */
+    private static void remember(Set<String> ids, String id, int most) {
+        ids.add(id);
+        if (ids.size() > most) {
+            Iterator<String> oldest = ids.iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
     /** Ends what has not left: the store is to get nothing new. */
     void dropWaiting() {
         List<List<PartSend>> calls = List.copyOf(waiting);
@@ -203,26 +218,52 @@
         shared.events.accept(Event.AttemptOver.of(attempt, outcome));
     }
 
-    /** What is no frame ends the connection: nothing after it can be trusted. */
+    /** What is no frame ends the connection: nothing after it can be trusted, what came whole before it can. */
     private void read(Buffer bytes) {
+        if (closed) {
+            return;
+        }
         heardUs = now();
         usedUs = heardUs;
         silent = false;
-        List<Frames.Frame> read = new ArrayList<>();
         try {
-            frames.read(bytes, read::add);
-            for (Frames.Frame frame : read) {
+            frames.read(bytes, frame -> {
+                frameRound++;
                 take(frame);
-            }
+            });
+            awaitFrame();
         } catch (Frames.MalformedException e) {
-            shared.events.accept(new Event.Noted(Count.BAD_FRAMES));
-            close();
+            spoilt();
         }
         if (leaving) {
             closeWhenIdle();
         }
     }
 
+    private void spoilt() {
+        shared.events.accept(new Event.Noted(Count.BAD_FRAMES));
+        close();
+    }
+
+    /** A line or value that never ends would keep what is out here until its time is over. */
+    private void awaitFrame() {
+        if (!frames.within()) {
+            within = false;
+            return;
+        }
+        if (within && frameRound == awaitedRound) {
+            return;
+        }
+        within = true;
+        awaitedRound = frameRound;
+        long mine = frameRound;
+        shared.vertx.setTimer(MicroClock.timerMs(heardUs, heardUs + FRAME_US), t -> {
+            if (!closed && within && frameRound == mine) {
+                spoilt();
+            }
+        });
+    }
+
     private void take(Frames.Frame frame) throws Frames.MalformedException {
         switch (frame.letter()) {
             case 'q' -> {
@@ -233,18 +274,22 @@
                 }
                 Out ended = out.remove(reply.id());
                 if (ended != null) {
+                    remember(answered, reply.id(), MOST_ANSWERED);
                     shared.events.accept(new Event.AttemptOver(ended.attempt(), outcome,
                             shared.reports.read(reply.report()), reply.value()));
-                } else {
-                    abandoned.remove(reply.id()); // it was given up; now its one reply is behind us
+                } else if (abandoned.remove(reply.id())) { // it was given up; now its one reply is behind us
+                    remember(answered, reply.id(), MOST_ANSWERED);
+                } else if (!answered.contains(reply.id())) { // a second copy is only too much; this is somebody's lost reply
+                    throw new Frames.MalformedException("a reply that nobody waits for");
                 }
             }
             case 'o', 'p' -> {
                 Long id = probes.poll();
                 if (id != null) {
-                    boolean bad = frame.rest().equals("bad");
+                    String text = frame.rest().toString();
+                    boolean bad = text.equals("bad");
                     shared.events.accept(new Event.ProbeOver(id, bad ? Outcome.ERROR : Outcome.OK,
-                            bad ? new float[0] : shared.reports.read(frame.rest())));
+                            bad ? new float[0] : shared.reports.read(text)));
                 }
             }
             case 'r' -> throw new Frames.MalformedException("the store could not use a frame: " + frame.rest());
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
@@ -28,14 +28,20 @@
 
     /** What all frame transports of a broker share. */
     public static final class Shared {
+        final Vertx vertx;
         final NetClient client;
         final Limits limits;
+        private final int mostConnections;
+        private int connections;
         final Reports reports;
         final LongSupplier clock;
         final Consumer<Event> events;
 
-        public Shared(Vertx vertx, Limits limits, Reports reports, LongSupplier clock, Consumer<Event> events) {
+        /** {@code mostConnections}: to all stores together. */
+        public Shared(Vertx vertx, Limits limits, int mostConnections, Reports reports, LongSupplier clock, Consumer<Event> events) {
+            this.vertx = vertx;
             this.limits = limits;
+            this.mostConnections = mostConnections;
             this.reports = reports;
             this.clock = clock;
             this.events = events;
@@ -74,7 +80,7 @@
                     best = c;
                 }
             }
-            if (best == null && state == ServerState.READY && connections.size() < MOST_CONNECTIONS) {
+            if (best == null && mayOpen()) {
                 best = open();
             }
         }
@@ -97,12 +103,12 @@
     @Override
     public void probe(long probe) {
         FrameConnection best = null;
-        for (FrameConnection c : connections) {
+        for (FrameConnection c : List.copyOf(connections)) { // one that stood idle for long closes on being asked
             if (c.takes(0, Set.of()) && (best == null || c.isOpen())) {
                 best = c;
             }
         }
-        if (best == null && state == ServerState.READY && connections.size() < MOST_CONNECTIONS) {
+        if (best == null && mayOpen()) {
             best = open();
         }
         if (best == null) {
@@ -112,9 +118,18 @@
         best.probe(probe);
     }
 
+    private boolean mayOpen() {
+        return state == ServerState.READY && connections.size() < MOST_CONNECTIONS
+                && shared.connections < shared.mostConnections;
+    }
+
     private FrameConnection open() {
         shared.events.accept(new Event.Noted(Count.CONNECTIONS_OPENED));
-        FrameConnection made = new FrameConnection(shared, connections::remove);
+        FrameConnection made = new FrameConnection(shared, closed -> {
+            shared.connections--;
+            connections.remove(closed);
+        });
+        shared.connections++;
         connections.add(made);
         made.connect(entry.host(), entry.port());
         return made;
--- a/src/main/java/dunlinhitch/dispatch/frames/Frames.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/Frames.java
@@ -1,8 +1,8 @@
 package dunlinhitch.dispatch.frames;
 
+import dunlinhitch.dispatch.ExactText;
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
-import java.util.function.Consumer;
 
 /** The frames of the stores: four bytes of length, least significant first, a letter, and the rest. */
 final class Frames {
@@ -11,13 +11,18 @@
     private static final int HEAD = 4;
 
     /** One frame as it came. */
-    record Frame(char letter, String rest) {
+    record Frame(char letter, Buffer rest) {
     }
 
     /** The answer for one part. */
     record PartReply(String id, String end, String report, String value) {
     }
 
+    /** Takes frames as they come whole. */
+    interface Sink {
+        void take(Frame frame) throws MalformedException;
+    }
+
     /** What came is no frame, or none that a store may send. */
     static final class MalformedException extends Exception {
         private static final long serialVersionUID = 1L;
@@ -29,8 +34,8 @@
 
     private Buffer rest = Buffer.buffer();
 
-    /** Adds what was read and hands on each frame that is whole. */
-    void read(Buffer bytes, Consumer<Frame> sink) throws MalformedException {
+    /** Adds what was read and hands on each frame as soon as it is whole: those ahead of a bad one count. */
+    void read(Buffer bytes, Sink sink) throws MalformedException {
         Buffer all = rest.length() == 0 ? bytes : rest.appendBuffer(bytes);
         int at = 0;
         while (all.length() - at >= HEAD) {
@@ -43,19 +48,32 @@
             }
             int from = at + HEAD;
             at = from + (int) length;
-            sink.accept(new Frame((char) all.getByte(from), all.getString(from + 1, at)));
+            sink.take(new Frame((char) all.getByte(from), all.slice(from + 1, at)));
         }
         rest = all.getBuffer(at, all.length());
     }
 
+    /** True where a frame has begun whose end is still to come. */
+    boolean within() {
+        return rest.length() > 0;
+    }
+
     /** Reads the rest of a {@code q} frame: {@code ID END SCORE REPORT}, a line end, the value. */
-    static PartReply partReply(String text) throws MalformedException {
-        int line = text.indexOf('\n');
-        String[] words = line < 0 ? new String[0] : text.substring(0, line).split(" ", -1);
-        if (words.length != 4) {
+    static PartReply partReply(Buffer rest) throws MalformedException {
+        int line = 0;
+        while (line < rest.length() && rest.getByte(line) != '\n') {
+            line++;
+        }
+        // a report that can not be read may hold anything; it spoils itself only
+        String[] words = rest.getString(0, line, "ISO-8859-1").split(" ", 4);
+        if (line == rest.length() || words.length != 4) {
             throw new MalformedException("a reply without its line of four words");
         }
-        return new PartReply(words[0], words[1], words[3], text.substring(line + 1));
+        String value = ExactText.of(rest.getBytes(line + 1, rest.length()));
+        if (value == null) {
+            throw new MalformedException("a value that is no UTF-8");
+        }
+        return new PartReply(words[0], words[1], words[3], value);
     }
 
     static Buffer frame(char letter, byte[] rest) {
--- a/src/main/java/dunlinhitch/intake/QueryReader.java
+++ b/src/main/java/dunlinhitch/intake/QueryReader.java
@@ -26,6 +26,8 @@
     /** Ids and keys travel in lines and lists of the stores' frames: no blank, comma, equals sign or line end. */
     private static final Pattern WORD = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
     private static final Pattern SECONDS = Pattern.compile("-?[0-9]{1,9}(\\.[0-9]{1,9})?");
+    /** Portions are rounded. */
+    private static final double PORTIONS_SLACK = 0.005;
     private final Settings settings;
 
     public QueryReader(Settings settings) {
@@ -81,6 +83,7 @@
         }
         List<QueryAsk.PartAsk> parts = new ArrayList<>(array.size());
         Set<Integer> seen = new HashSet<>();
+        double whole = 0;
         for (JsonValue value : array) {
             JsonObject o = value.asObject();
             int shard = o.get("range").asInt();
@@ -93,6 +96,10 @@
                 throw new BadQueryException("portion or price of range " + shard + " is out of range");
             }
             parts.add(new QueryAsk.PartAsk(shard, portion, (long) price));
+            whole += portion;
+        }
+        if (Math.abs(whole - 1) > PORTIONS_SLACK) {
+            throw new BadQueryException("the portions add up to " + whole);
         }
         return parts;
     }
--- a/src/main/java/dunlinhitch/intake/http/HttpFront.java
+++ b/src/main/java/dunlinhitch/intake/http/HttpFront.java
@@ -19,9 +19,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
-import java.util.HashMap;
 import java.util.Locale;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -30,10 +28,9 @@
 
 /** The platform's front: HTTP/1.1, a query a POST. It reads and words; what is answered is decided elsewhere. */
 public final class HttpFront implements Front {
-    private static final int IDLE_S = 75;
     private static final int CLOSE_S = 5;
-    /** Beyond so many connections each answer closes its own: descriptors are limited. */
-    private static final int KEPT_OPEN = 640;
+    private static final long LOOK_AFTER_MS = 200;
+    private final Vertx vertx;
     private final Exchanges exchanges;
     private final QueryReader reader;
     private final Consumer<Event> events;
@@ -41,23 +38,26 @@
     private final BooleanSupplier ready;
     private final Supplier<String> stats;
     private final HttpServer server;
-    /** Requests that are open on each connection; none: it stands idle. */
-    private final Map<HttpConnection, Integer> connections = new HashMap<>();
+    private final Links links;
     private boolean draining;
 
+    /** {@code mostLinks}: connections that clients may hold at once. */
     public HttpFront(Vertx vertx, Exchanges exchanges, QueryReader reader, Consumer<Event> events,
-            LongSupplier clock, BooleanSupplier ready, Supplier<String> stats) {
+            LongSupplier clock, int mostLinks, BooleanSupplier ready, Supplier<String> stats) {
+        this.vertx = vertx;
         this.exchanges = exchanges;
         this.reader = reader;
         this.events = events;
         this.clock = clock;
         this.ready = ready;
         this.stats = stats;
-        server = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false)
-                .setAcceptBacklog(1024).setIdleTimeout(IDLE_S).setHandle100ContinueAutomatically(true));
+        links = new Links(mostLinks, clock, events);
+        HttpServerOptions options = new HttpServerOptions().setHttp2ClearTextEnabled(false).setAcceptBacklog(1024)
+                .setHandle100ContinueAutomatically(true);
+        server = vertx.createHttpServer(options);
         server.connectionHandler(c -> {
-            connections.put(c, 0);
-            c.closeHandler(v -> connections.remove(c));
+            StrictDecoder.install(c, options);
+            links.made(c);
         });
         server.invalidRequestHandler(request -> {
             events.accept(new Event.Noted(Count.BAD_REQUESTS));
@@ -68,6 +68,7 @@
 
     @Override
     public Future<Integer> listen(String host, int port) {
+        vertx.setPeriodic(LOOK_AFTER_MS, t -> links.closeOverdue());
         return server.listen(port, host).map(HttpServer::actualPort);
     }
 
@@ -78,11 +79,7 @@
      */
     public void drain() {
         draining = true;
-        Map.copyOf(connections).forEach((connection, open) -> {
-            if (open == 0) {
-                connection.close();
-            }
-        });
+        links.closeIdle();
     }
 
     @Override
@@ -91,9 +88,7 @@
     }
 
     private void request(HttpServerRequest request) {
-        HttpConnection connection = request.connection();
-        connections.merge(connection, 1, Integer::sum);
-        HttpServerResponse response = request.response();
+        links.asked(request.connection());
         String path = request.path() == null ? "" : request.path();
         switch (path) {
             case "/health/ready" -> page(request, ready.getAsBoolean() && !draining ? 200 : 503, "ready\n");
@@ -105,7 +100,7 @@
                 if (queryClass < 0) {
                     bad(request, 404, "no such class");
                 } else if (request.method() != HttpMethod.POST) {
-                    response.putHeader(HttpHeaders.ALLOW, "POST");
+                    request.response().putHeader(HttpHeaders.ALLOW, "POST");
                     bad(request, 405, "a query is a POST");
                 } else {
                     readBody(request, queryClass);
@@ -120,12 +115,14 @@
             bad(request, 405, "this page is only read");
             return;
         }
-        end(request, status, "text/plain", Buffer.buffer(status == 200 ? text : "not " + text));
+        links.taken(request.connection());
+        end(request, status, "text/plain", Buffer.buffer(status == 200 ? text : "not " + text), false);
     }
 
+    /** Where the body is still to come the connection ends too: it may be long, and nobody wants it. */
     private void bad(HttpServerRequest request, int status, String why) {
         events.accept(new Event.Noted(Count.BAD_REQUESTS));
-        end(request, status, "text/plain", Buffer.buffer(why + "\n"));
+        end(request, status, "text/plain", Buffer.buffer(why + "\n"), !request.isEnded());
     }
 
     /** Takes a body of 64 KiB at most, whether it states its length or not; more is never kept. */
@@ -134,10 +131,7 @@
         boolean[] over = {false};
         Runnable tooLarge = () -> {
             over[0] = true;
-            events.accept(new Event.Noted(Count.BAD_REQUESTS));
-            request.response().putHeader(HttpHeaders.CONNECTION, "close");
-            end(request, 413, "text/plain", Buffer.buffer("the body is over 64 KiB\n"))
-                    .onComplete(done -> request.connection().close());
+            bad(request, 413, "the body is over 64 KiB");
         };
         String stated = request.getHeader(HttpHeaders.CONTENT_LENGTH);
         if (stated != null && (!stated.matches("[0-9]{1,6}") || Integer.parseInt(stated) > QueryReader.MOST_BYTES)) {
@@ -161,6 +155,7 @@
 
     private void taken(HttpServerRequest request, int queryClass, Buffer body) {
         long takenUs = clock.getAsLong();
+        links.taken(request.connection());
         try {
             long exchange = exchanges.open(reader.read(queryClass, request::getHeader, body.toString(), takenUs),
                     answer -> write(request, answer));
@@ -175,33 +170,32 @@
             JsonArray parts = new JsonArray();
             served.parts().forEach(p -> parts.add(Json.object().add("range", p.shard()).add("blob", p.value())));
             end(request, 200, "application/json", Buffer.buffer(
-                    Json.object().add("total", served.whole()).add("answers", parts).toString()));
+                    Json.object().add("total", served.whole()).add("answers", parts).toString()), false);
         } else if (answer instanceof Answer.Refused refused) {
             if (refused.comeBackUs() > 0) {
                 request.response().putHeader(HttpHeaders.RETRY_AFTER,
                         String.format(Locale.ROOT, "%.3f", refused.comeBackUs() / 1e6));
             }
-            end(request, 503, "text/plain", Buffer.buffer("refused; trying again is harmless\n"));
+            end(request, 503, "text/plain", Buffer.buffer("refused; trying again is harmless\n"), false);
         } else {
             boolean late = answer instanceof Answer.OutOfTime;
-            end(request, late ? 504 : 500, "text/plain", Buffer.buffer(late ? "out of time\n" : "failed\n"));
+            end(request, late ? 504 : 500, "text/plain", Buffer.buffer(late ? "out of time\n" : "failed\n"), false);
         }
     }
 
-    private Future<Void> end(HttpServerRequest request, int status, String type, Buffer body) {
+    private void end(HttpServerRequest request, int status, String type, Buffer body, boolean last) {
         HttpServerResponse response = request.response();
         HttpConnection connection = request.connection();
         if (response.ended() || response.closed()) {
-            return Future.succeededFuture();
+            return;
         }
-        boolean last = draining || connections.size() > KEPT_OPEN;
         response.setStatusCode(status).putHeader(HttpHeaders.CONTENT_TYPE, type);
-        if (last) {
+        if (last || draining) {
             response.putHeader(HttpHeaders.CONNECTION, "close");
         }
-        return response.end(body).onComplete(done -> {
-            connections.computeIfPresent(connection, (c, open) -> Math.max(0, open - 1));
-            if (last) {
+        response.end(body).onComplete(done -> {
+            links.answered(connection);
+            if (last || draining) {
                 connection.close();
             }
         });
--- a/src/main/java/dunlinhitch/roster/Source.java
+++ b/src/main/java/dunlinhitch/roster/Source.java
@@ -4,6 +4,9 @@
 public interface Source {
     void start();
 
+    /** Discovery is at that address; what is held stands until something is heard from there. */
+    void follow(String host, int port);
+
     void stop();
 
     /** Asks again now. */
--- a/src/main/java/dunlinhitch/roster/Watch.java
+++ b/src/main/java/dunlinhitch/roster/Watch.java
@@ -17,38 +17,35 @@
 
 /**
  * Follows discovery. While it is lost or silent the last list stands; the watch is opened again with growing pauses
- * and says which list it had, so that what was missed comes first.
+ * and says which list it had, so that what was missed comes first. Where discovery moves, the old address is heard
+ * until the new one has spoken.
  */
 public final class Watch implements Source {
-    private static final long SILENT_US = 7_000_000;
+    /** An empty line comes every 2 s; what this misses counts as told all the same after 6 s. */
+    private static final long SILENT_US = 3_000_000;
     private static final long FIRST_PAUSE_US = 100_000;
-    private static final long LONGEST_PAUSE_US = 3_000_000;
+    private static final long LONGEST_PAUSE_US = 1_000_000;
     private static final int MOST_LINE_BYTES = 4 << 20;
+    private static final String LIST = "/registry/instances";
+    /** Lists of another discovery are numbered anew: none of its own is known yet. */
+    private static final long NONE_YET = -1;
     private final Vertx vertx;
     private final HttpClient client;
-    private final String host;
-    private final int port;
     private final RosterReader reader;
     private final Consumer<Event> events;
     private final LongSupplier clock;
-    private long generation;
-    private long pauseUs = FIRST_PAUSE_US;
-    private long round;
-    private long silentDueUs;
+    private final long knownGeneration;
+    private Session current;
+    /** The one that is heard until the current one has spoken, or null. */
+    private Session before;
     private boolean answered;
-    private boolean stopped;
-    private HttpClientRequest open;
-    private Buffer line = Buffer.buffer();
 
-    public Watch(Vertx vertx, String host, int port, long knownGeneration, RosterReader reader,
-            Consumer<Event> events, LongSupplier clock) {
+    public Watch(Vertx vertx, long knownGeneration, RosterReader reader, Consumer<Event> events, LongSupplier clock) {
         this.vertx = vertx;
-        this.host = host;
-        this.port = port;
+        this.knownGeneration = knownGeneration;
         this.reader = reader;
         this.events = events;
         this.clock = clock;
-        generation = knownGeneration;
         client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1000).setKeepAlive(false));
     }
 
@@ -59,131 +56,194 @@
 
     @Override
     public void start() {
-        open();
+        // begins with the address that it is told to follow
+    }
+
+    @Override
+    public void follow(String host, int port) {
+        if (before != null) {
+            before.end();
+        }
+        before = current;
+        current = new Session(host, port, before == null ? knownGeneration : NONE_YET);
+        current.open();
     }
 
     @Override
     public void stop() {
-        stopped = true;
-        leave();
+        if (before != null) {
+            before.end();
+        }
+        if (current != null) {
+            current.end();
+        }
     }
 
     /** Asks again from the list that is held; the watch that was open ends. */
     @Override
     public void resync() {
-        pauseUs = FIRST_PAUSE_US;
-        again(clock.getAsLong());
-    }
-
-    private void leave() {
-        round++;
-        if (open != null) {
-            open.connection().close();
-            open = null;
+        if (current != null) {
+            current.pauseUs = FIRST_PAUSE_US;
+            current.again(clock.getAsLong());
         }
     }
 
-    private void open() {
-        long mine = ++round;
-        line = Buffer.buffer();
-        heard();
-        watchSilence(mine);
-        client.request(HttpMethod.GET, port, host, "/registry/instances?follow=1&since=" + generation)
-                .onComplete(made -> {
-                    if (mine != round) {
-                        if (made.succeeded()) {
-                            made.result().connection().close();
-                        }
-                    } else if (made.failed()) {
-                        lost(mine);
-                    } else {
-                        open = made.result();
-                        open.exceptionHandler(e -> lost(mine));
-                        open.send().onSuccess(response -> follow(mine, response)).onFailure(e -> lost(mine));
-                    }
-                });
-    }
+    /** What is heard from one address. */
+    private final class Session {
+        private final String host;
+        private final int port;
+        private long generation;
+        private long pauseUs = FIRST_PAUSE_US;
+        private long round;
+        private long silentDueUs;
+        private boolean ended;
+        private HttpClientRequest open;
+        private Buffer line = Buffer.buffer();
+
+        Session(String host, int port, long generation) {
+            this.host = host;
+            this.port = port;
+            this.generation = generation;
+        }
 
-    private void follow(long mine, HttpClientResponse response) {
-        if (response.statusCode() != 200) {
-            lost(mine);
-            return;
+        void end() {
+            ended = true;
+            leave();
         }
-        response.handler(bytes -> {
-            if (mine == round) {
-                read(mine, bytes);
-            }
-        });
-        response.exceptionHandler(e -> lost(mine));
-        response.endHandler(v -> lost(mine));
-    }
 
-    private void read(long mine, Buffer bytes) {
-        heard();
-        line.appendBuffer(bytes);
-        int from = 0;
-        for (int i = line.length() - bytes.length(); i < line.length(); i++) {
-            if (line.getByte(i) == '\n') {
-                take(line.getString(from, i));
-                from = i + 1;
+        private void leave() {
+            round++;
+            if (open != null) {
+                open.connection().close();
+                open = null;
             }
         }
-        line = line.getBuffer(from, line.length());
-        if (line.length() > MOST_LINE_BYTES) {
-            lost(mine);
-        }
-    }
 
-    private void take(String text) {
-        if (text.isBlank()) {
-            return;
+        void open() {
+            long mine = ++round;
+            line = Buffer.buffer();
+            heard();
+            watchSilence(mine);
+            String uri = generation == NONE_YET ? LIST : LIST + "?follow=1&since=" + generation;
+            client.request(HttpMethod.GET, port, host, uri).onComplete(made -> {
+                if (mine != round) {
+                    if (made.succeeded()) {
+                        made.result().connection().close();
+                    }
+                } else if (made.failed()) {
+                    lost(mine);
+                } else {
+                    open = made.result();
+                    open.exceptionHandler(e -> lost(mine));
+                    open.send().onSuccess(response -> listen(mine, response)).onFailure(e -> lost(mine));
+                }
+            });
         }
-        try {
-            JsonObject list = Json.parse(text).asObject();
-            Event.RosterNews news = reader.read(list, false);
-            generation = list.getLong("generation", generation);
-            answered = true;
-            pauseUs = FIRST_PAUSE_US;
-            events.accept(news);
-        } catch (RuntimeException e) {
-            events.accept(new Event.Noted(Count.BAD_ROSTER_ENTRIES)); // a line that is no list changes nothing
+
+        private void listen(long mine, HttpClientResponse response) {
+            if (response.statusCode() != 200) {
+                lost(mine);
+                return;
+            }
+            boolean list = generation == NONE_YET;
+            response.handler(bytes -> {
+                if (mine == round) {
+                    read(mine, bytes);
+                }
+            });
+            response.exceptionHandler(e -> lost(mine));
+            response.endHandler(v -> {
+                if (list && mine == round) { // the whole list, which need not end in a line end
+                    take(line.toString());
+                }
+                if (list && mine == round && generation != NONE_YET) {
+                    leave();
+                    open(); // what comes after it
+                } else {
+                    lost(mine);
+                }
+            });
         }
-    }
 
-    private void heard() {
-        silentDueUs = clock.getAsLong() + SILENT_US;
-    }
+        private void read(long mine, Buffer bytes) {
+            heard();
+            line.appendBuffer(bytes);
+            if (generation != NONE_YET) {
+                int from = 0;
+                for (int i = line.length() - bytes.length(); i < line.length(); i++) {
+                    if (line.getByte(i) == '\n') {
+                        take(line.getString(from, i));
+                        from = i + 1;
+                    }
+                }
+                line = line.getBuffer(from, line.length());
+            }
+            if (line.length() > MOST_LINE_BYTES) {
+                lost(mine);
+            }
+        }
 
-    /** A machine that vanished leaves the watch open for ever: silence ends it. */
-    private void watchSilence(long mine) {
-        vertx.setTimer(MicroClock.timerMs(clock.getAsLong(), silentDueUs), t -> {
-            if (mine != round) {
+        private void take(String text) {
+            if (text.isBlank()) {
                 return;
             }
-            if (clock.getAsLong() >= silentDueUs) {
-                lost(mine);
-            } else {
-                watchSilence(mine);
+            try {
+                JsonObject list = Json.parse(text).asObject();
+                Event.RosterNews news = reader.read(list, false);
+                generation = list.getLong("generation", Math.max(0, generation));
+                answered = true;
+                pauseUs = FIRST_PAUSE_US;
+                events.accept(news);
+            } catch (RuntimeException e) {
+                events.accept(new Event.Noted(Count.BAD_ROSTER_ENTRIES)); // a line that is no list changes nothing
+                return;
             }
-        });
-    }
+            if (this == current && before != null) {
+                before.end(); // from here on the new address speaks alone
+                before = null;
+            }
+        }
 
-    private void lost(long mine) {
-        if (mine != round || stopped) {
-            return;
+        private void heard() {
+            silentDueUs = clock.getAsLong() + SILENT_US;
         }
-        events.accept(new Event.Noted(Count.ROSTER_LOST));
-        again(clock.getAsLong() + pauseUs);
-        pauseUs = Math.min(LONGEST_PAUSE_US, 2 * pauseUs);
-    }
 
-    private void again(long dueUs) {
-        leave();
-        long mine = round;
-        vertx.setTimer(MicroClock.timerMs(clock.getAsLong(), dueUs), t -> {
-            if (mine == round && !stopped) {
-                open();
+        /** A machine that vanished leaves the watch open for ever: silence ends it. */
+        private void watchSilence(long mine) {
+            vertx.setTimer(MicroClock.timerMs(clock.getAsLong(), silentDueUs), t -> {
+                if (mine != round) {
+                    return;
+                }
+                if (clock.getAsLong() >= silentDueUs) {
+                    lost(mine);
+                } else {
+                    watchSilence(mine);
+                }
+            });
+        }
+
+        private void lost(long mine) {
+            if (mine != round || ended) {
+                return;
             }
-        });
+            events.accept(new Event.Noted(Count.ROSTER_LOST));
+            if (this != current) { // discovery has moved from here
+                before = null;
+                end();
+                return;
+            }
+            again(clock.getAsLong() + pauseUs);
+            pauseUs = Math.min(LONGEST_PAUSE_US, 2 * pauseUs);
+        }
+
+        private void again(long dueUs) {
+            leave();
+            long mine = round;
+            vertx.setTimer(MicroClock.timerMs(clock.getAsLong(), dueUs), t -> {
+                if (mine == round && !ended) {
+                    open();
+                }
+            });
+        }
     }
 }
--- a/src/main/java/dunlinhitch/roster/dnssd/DnsSd.java
+++ b/src/main/java/dunlinhitch/roster/dnssd/DnsSd.java
@@ -95,6 +95,11 @@
         lookUp();
     }
 
+    @Override
+    public void follow(String host, int port) {
+        // the records come from the server that the file of fronts names
+    }
+
     @Override
     public void stop() {
         round++;
--- a/src/test/java/dunlinhitch/MainTest.java
+++ b/src/test/java/dunlinhitch/MainTest.java
@@ -6,6 +6,7 @@
 
 import dunlinhitch.standin.Discovery;
 import io.vertx.core.Vertx;
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -50,6 +51,33 @@
         assertEquals(1, complaint("serve", "--bogus").lines().count());
     }
 
+    private static String config(Discovery discovery) {
+        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery.port()
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"settings\":{\"Classes\":[{\"Name\":\"a\","
+                + "\"DeadlineUs\":1000000}],\"Limits\":{\"ConnectTimeoutUs\":250000,\"StreamsPerConn\":32}}}";
+    }
+
+    private static Process start(Path file, Discovery discovery) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xlog:class+load", "-cp", System.getProperty("java.class.path"), "dunlinhitch.Main", "serve",
+                "--config", file.toString()).redirectErrorStream(true);
+        builder.environment().put("ROUTER_DISCOVERY", "127.0.0.1:" + discovery.port());
+        return builder.start();
+    }
+
+    /** Reads up to a line that begins so, or to the end. */
+    private static List<String> read(BufferedReader reader, String until) throws IOException {
+        List<String> lines = new ArrayList<>();
+        String line = reader.readLine();
+        while (line != null) {
+            lines.add(line);
+            line = line.startsWith(until) ? null : reader.readLine();
+        }
+        assertTrue(lines.get(lines.size() - 1).startsWith(until), () -> "it ended: " + lines.subList(
+                Math.max(0, lines.size() - 5), lines.size()));
+        return lines;
+    }
+
     /** With neither front nor store that speaks it, no class of Arrow may cost memory; SIGTERM ends in exit code 0. */
     @Test
     void aBrokerWithoutFlightLoadsNoArrowAndEndsOnRequest() throws Exception {
@@ -57,29 +85,59 @@
         try (Discovery discovery = new Discovery(vertx)) {
             discovery.list();
             Path file = dir.resolve("config.json");
-            Files.writeString(file, "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
-                    + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"settings\":{\"Classes\":[{\"Name\":\"a\","
-                    + "\"DeadlineUs\":1000000}],\"Limits\":{\"ConnectTimeoutUs\":250000,\"StreamsPerConn\":32}}}");
-            Process broker = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-Xlog:class+load", "-cp", System.getProperty("java.class.path"), "dunlinhitch.Main", "serve",
-                    "--config", file.toString()).redirectErrorStream(true).start();
+            Files.writeString(file, config(discovery));
+            Process broker = start(file, discovery);
             List<String> lines = new ArrayList<>();
             try (var reader = broker.inputReader()) {
-                String line = "";
-                while (line != null && !line.startsWith("n1 listens")) {
-                    line = reader.readLine();
-                    lines.add(line);
-                }
-                assertTrue(line != null, "it ended: " + lines.subList(Math.max(0, lines.size() - 5), lines.size()));
+                lines.addAll(read(reader, "n1 listens"));
+                broker.toHandle().destroy();
+                lines.addAll(read(reader, "faults"));
+            }
+            assertTrue(broker.waitFor(10, TimeUnit.SECONDS));
+            assertEquals(0, broker.exitValue());
+            assertTrue(lines.contains("queries_taken 0"), "counters are printed at exit");
+            assertFalse(lines.stream().anyMatch(l -> l.contains("org.apache.arrow")));
+        } finally {
+            vertx.close();
+        }
+    }
+
+    private static void hangUp(Process broker) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(broker.pid())).start().waitFor());
+    }
+
+    /**
+     * SIGHUP ends a JVM that does not heed it. The file goes before the environment then; lists of the new address are
+     * numbered anew, so its whole list comes first; a file that can not be read changes nothing.
+     */
+    @Test
+    void onHangUpDiscoveryIsFollowedToWhereTheFileSaysItIs() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        try (Discovery old = new Discovery(vertx); Discovery moved = new Discovery(vertx)) {
+            for (int generation = 0; generation < 3; generation++) {
+                old.list();
+            }
+            moved.list();
+            Path file = dir.resolve("config.json");
+            Files.writeString(file, config(moved));
+            Process broker = start(file, old);
+            try (var reader = broker.inputReader()) {
+                read(reader, "n1 listens");
+                assertEquals("/registry/instances?follow=1&since=0", old.asked.poll(5, TimeUnit.SECONDS));
+                String whole = Files.readString(file);
+                Files.writeString(file, whole.substring(0, 60));
+                hangUp(broker);
+                read(reader, "the configuration stays as it was");
+                Files.writeString(file, whole);
+                hangUp(broker);
+                assertEquals("/registry/instances", moved.asked.poll(5, TimeUnit.SECONDS));
+                assertEquals("/registry/instances?follow=1&since=1", moved.asked.poll(5, TimeUnit.SECONDS));
                 broker.toHandle().destroy();
-                while ((line = reader.readLine()) != null) {
-                    lines.add(line);
-                }
+                List<String> lines = read(reader, "faults");
+                assertTrue(lines.contains("discovery_moved 1") && lines.contains("bad_configurations 1"));
             }
             assertTrue(broker.waitFor(10, TimeUnit.SECONDS));
             assertEquals(0, broker.exitValue());
-            assertTrue(lines.stream().anyMatch(l -> l.equals("queries_taken 0")), "counters are printed at exit");
-            assertFalse(lines.stream().anyMatch(l -> l != null && l.contains("org.apache.arrow")));
         } finally {
             vertx.close();
         }
--- a/src/test/java/dunlinhitch/RulesOnBothPathsTest.java
+++ b/src/test/java/dunlinhitch/RulesOnBothPathsTest.java
@@ -107,6 +107,38 @@
         assertTrue(stage.count("attempts_reset") >= 1);
     }
 
+    /** A spoilt answer may have run: it is asked for again, and nothing but what a store gave reaches the client. */
+    @ParameterizedTest
+    @EnumSource(Path.class)
+    void aSpoiltAnswerIsAFailureAndNeverPassedOn(Path path) throws Exception {
+        begin(path, 300);
+        for (Do how : List.of(Do.NO_TEXT, Do.NO_PART, Do.NO_END)) {
+            AtomicInteger taken = new AtomicInteger();
+            script(part -> taken.incrementAndGet() == 1 ? how : Do.GOOD);
+            Got got = wait(ask("slot-booking", 5));
+            assertEquals("whole", got.end(), how.name());
+            assertTrue(got.parts().get(5).matches("s-[01]/5/tenors é"), how.name());
+            assertEquals(2, taken.get(), how.name());
+        }
+        assertEquals(3, stage.count("bad_frames"));
+    }
+
+    /** What comes beside a good answer spoils neither it nor what follows. */
+    @ParameterizedTest
+    @EnumSource(Path.class)
+    void aSecondCopyOrABadReportLeavesTheAnswerGood(Path path) throws Exception {
+        begin(path, 300);
+        for (Do how : List.of(Do.TWICE, Do.NO_REPORT)) {
+            script(part -> how);
+            for (int i = 0; i < 3; i++) {
+                assertEquals("whole", wait(ask("free-search", 0, 1, 2, 3)).end(), how.name());
+            }
+        }
+        assertEquals(24, stage.count("attempts_sent"));
+        assertEquals(24, stage.count("attempts_served"));
+        assertEquals(0, stage.count("bad_frames"));
+    }
+
     @ParameterizedTest
     @EnumSource(Path.class)
     void aPartialAnswerKeepsTheFloorAndIsNotMarkedWhole(Path path) throws Exception {
@@ -221,7 +253,7 @@
     void whatIsNoQueryIsTurnedDown(Path path) throws Exception {
         begin(path, 300);
         for (String body : List.of("", "[]", "{\"ranges\":[],\"predicate\":\"x\"}", Client.body(99),
-                Client.body(1, 1), "{\"ranges\":[{\"range\":1,\"portion\":1}]}")) {
+                Client.body(1, 1), Client.body(1).replace("1.0", "0.6"), "{\"ranges\":[{\"range\":1,\"portion\":1}]}")) {
             assertEquals("bad", wait(ask("free-search", body)).end(), body);
         }
         assertEquals("bad", wait(client.ask("free-search", Map.of("X-Trace-Id", "a b"), Client.body(1))).end());
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -122,6 +122,16 @@
         assertEquals(6, of(SendCall.class).stream().mapToInt(c -> c.parts().size()).sum());
     }
 
+    /** A configuration that is read again moves discovery only where it names another address. */
+    @Test
+    void discoveryIsFollowedToANewAddressOnly() {
+        turn(new Event.DiscoveryNamed("127.0.0.1", 1), new Event.DiscoveryNamed("127.0.0.1", 1));
+        assertEquals(1, of(Effect.FollowDiscovery.class).size());
+        turn(new Event.DiscoveryNamed("127.0.0.1", 2));
+        assertEquals(new Effect.FollowDiscovery("127.0.0.1", 2), of(Effect.FollowDiscovery.class).get(1));
+        assertEquals(1, reducer.counters().get(Count.DISCOVERY_MOVED));
+    }
+
     @Test
     void theEndWaitsForWhatIsOpenAndTakesNothingNew() {
         stores();
--- a/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
@@ -53,7 +53,7 @@
     }
 
     private FrameTransport to(int port) {
-        FrameTransport.Shared shared = new FrameTransport.Shared(vertx, Stage.settings(100).limits(),
+        FrameTransport.Shared shared = new FrameTransport.Shared(vertx, Stage.settings(100).limits(), 3,
                 new Reports(Stage.settings(100).reportFields()), clock, event -> {
                     if (event instanceof Event.AttemptOver over) {
                         ends.add(over);
@@ -103,6 +103,43 @@
         assertEquals(Outcome.RESET, next().outcome());
     }
 
+    /** What came whole ahead of it is in, whether or not it was read in one go. */
+    @Test
+    void aMalformedFrameLeavesTheOnesAheadOfItGood() throws Exception {
+        store.script = part -> Do.NOTHING;
+        onLoop(() -> transport.call(List.of(part(1, 0), part(2, 1))));
+        store.seen.poll(5, TimeUnit.SECONDS);
+        store.sockets.get(0).write(FrameStore.frame('q', "q.0 good 1 -\nv").appendBuffer(FrameStore.frame('?', "")));
+        assertEquals("v", next().value());
+        assertEquals(Outcome.RESET, next().outcome());
+    }
+
+    /** A frame that never ends holds up what is behind it; its time is far shorter than that of the parts. */
+    @Test
+    void aFrameThatNeverEndsIsAReset() throws Exception {
+        store.script = part -> Do.NOTHING;
+        onLoop(() -> transport.call(List.of(part(1, 0), part(2, 1))));
+        store.seen.poll(5, TimeUnit.SECONDS);
+        store.sockets.get(0).write(FrameStore.frame('q', "q.0 good 1 -\nv")
+                .appendBuffer(Buffer.buffer(new byte[] {100, 0, 0, 0, 'q', 'q'})));
+        assertEquals(Outcome.OK, next().outcome());
+        assertEquals(Outcome.RESET, next().outcome());
+    }
+
+    /** All stores together are held to what the descriptors allow; what gets no connection has not run. */
+    @Test
+    void noMoreConnectionsAreOpenedThanMayBe() throws Exception {
+        store.script = part -> Do.NOTHING;
+        onLoop(() -> {
+            for (int i = 0; i <= 96; i++) { // three connections of 32 parts
+                transport.call(List.of(part(i, i)));
+            }
+        });
+        Event.AttemptOver over = next();
+        assertEquals(Outcome.CONNECT_FAILED, over.outcome());
+        assertEquals(96, over.attempt());
+    }
+
     @Test
     void aRefusedConnectionProvesThatNothingRan() throws Exception {
         int port;
@@ -201,9 +238,10 @@
         for (int i = 0; i < bytes.length(); i++) {
             frames.read(bytes.getBuffer(i, i + 1), read::add);
         }
-        assertEquals(List.of(new Frames.Frame('q', "q.0 later 0 -\n"), new Frames.Frame('p', "bad")), read);
+        assertEquals(List.of(new Frames.Frame('q', Buffer.buffer("q.0 later 0 -\n")),
+                new Frames.Frame('p', Buffer.buffer("bad"))), read);
         assertEquals("later", Frames.partReply(read.get(0).rest()).end());
-        assertThrows(Frames.MalformedException.class, () -> Frames.partReply("q.0 good\nvalue"));
+        assertThrows(Frames.MalformedException.class, () -> Frames.partReply(Buffer.buffer("q.0 good\nvalue")));
         assertThrows(Frames.MalformedException.class,
                 () -> new Frames().read(Buffer.buffer(new byte[4]), read::add));
     }
--- a/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
@@ -11,6 +11,8 @@
 import java.io.InputStreamReader;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,6 +25,7 @@
     @BeforeEach
     void begin() throws Exception {
         stage = new Stage();
+        stage.sockets = 64;
         stage.discovery.list();
         stage.start(Stage.settings(300), null);
     }
@@ -42,6 +45,72 @@
         }
     }
 
+    /** All that is said until the connection ends; fails where it does not. */
+    private String untilClosed(Socket socket) throws IOException {
+        socket.setSoTimeout(5_000);
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    /** A body framed in two ways may hide a second request: neither is passed on, and nothing more is read. */
+    @Test
+    void whatHidesBehindABodyFramedInTwoWaysIsNotRead() throws IOException {
+        String hidden = post("/free-search", "X-Trace-Id: b\r\nContent-Length: " + Client.body(1).length() + "\r\n",
+                Client.body(1));
+        for (String framing : List.of("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+                "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 5, 6\r\n",
+                "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: -5\r\n",
+                "Content-Length: 99999999999999999999\r\n", "Content-Length: 0x5\r\n")) {
+            try (Socket socket = new Socket("127.0.0.1", stage.httpPort)) {
+                socket.getOutputStream().write(post("/free-search", "X-Trace-Id: a\r\n" + framing,
+                        "0\r\n\r\n" + hidden).getBytes(StandardCharsets.UTF_8));
+                assertTrue(untilClosed(socket).matches("(?s)HTTP/1.1 4[0-9][0-9] (?!.*HTTP/1.1).*"), framing);
+            }
+        }
+        assertEquals(0, stage.count("queries_taken"));
+    }
+
+    /** Silence, a head or a body that never ends: the connection does, within 3 s. */
+    @Test
+    void whatNeverEndsIsClosedInTime() throws IOException {
+        List<Socket> sockets = new ArrayList<>();
+        for (String begun : List.of("", "POST /free-search HTTP/1.1\r\nX-", post("/free-search",
+                "X-Trace-Id: a\r\nContent-Length: 500\r\n", "{"))) {
+            sockets.add(new Socket("127.0.0.1", stage.httpPort));
+            sockets.get(sockets.size() - 1).getOutputStream().write(begun.getBytes(StandardCharsets.UTF_8));
+        }
+        long from = System.nanoTime();
+        for (Socket socket : sockets) {
+            untilClosed(socket);
+            socket.close();
+        }
+        assertTrue(System.nanoTime() - from < 3_000_000_000L);
+    }
+
+    /** Those who say nothing make room for those who ask. */
+    @Test
+    void aCrowdThatSaysNothingLeavesRoomForAQuery() throws IOException {
+        List<Socket> crowd = new ArrayList<>();
+        for (int i = 0; i < 2 * stage.sockets; i++) {
+            crowd.add(new Socket("127.0.0.1", stage.httpPort));
+        }
+        assertEquals(200, status("GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"));
+        assertTrue(stage.count("clients_crowded_out") >= stage.sockets);
+        for (Socket socket : crowd) {
+            socket.close();
+        }
+    }
+
+    /** A body that nobody wants is not waited for. */
+    @Test
+    void whatIsTurnedDownBeforeItsBodyEndsTheConnection() throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", stage.httpPort)) {
+            socket.getOutputStream().write(post("/other", "Content-Length: 60000000\r\n", "{")
+                    .getBytes(StandardCharsets.UTF_8));
+            assertTrue(untilClosed(socket).startsWith("HTTP/1.1 404 "));
+        }
+    }
+
     private static String post(String path, String headers, String body) {
         return "POST " + path + " HTTP/1.1\r\nHost: x\r\n" + headers + "\r\n" + body;
     }
--- a/src/test/java/dunlinhitch/standin/Discovery.java
+++ b/src/test/java/dunlinhitch/standin/Discovery.java
@@ -21,8 +21,12 @@
     public Discovery(Vertx vertx) throws Exception {
         server = vertx.createHttpServer().requestHandler(request -> {
             HttpServerResponse response = request.response().setChunked(true);
-            watches.add(response);
-            response.write(first + "\n");
+            if (request.uri().contains("follow=1")) {
+                watches.add(response);
+                response.write(first + "\n");
+            } else {
+                response.end(first);
+            }
             asked.add(request.uri());
         }).listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
     }
--- a/src/test/java/dunlinhitch/standin/FlightStore.java
+++ b/src/test/java/dunlinhitch/standin/FlightStore.java
@@ -47,9 +47,9 @@
                         return;
                     }
                     silent |= how == Do.NOTHING;
-                    if (how != Do.NOTHING) {
-                        row(root, part.id(), end(how), "1", "latency_ms=5,queue=0",
-                                how == Do.GOOD ? value(part) : "");
+                    Row row = row(part, how);
+                    for (int copies = how == Do.NOTHING ? 0 : how == Do.TWICE ? 2 : 1; copies > 0; copies--) {
+                        fill(root, row);
                         listener.putNext();
                     }
                 }
@@ -75,11 +75,13 @@
         }
     }
 
-    private static void row(VectorSchemaRoot root, String... values) {
+    private static void fill(VectorSchemaRoot root, Row row) {
         root.clear();
-        for (int i = 0; i < values.length; i++) {
-            ((VarCharVector) root.getVector(i)).setSafe(0, values[i].getBytes(StandardCharsets.UTF_8));
+        List<String> words = List.of(row.id(), row.end(), "1", row.report());
+        for (int i = 0; i < words.size(); i++) {
+            ((VarCharVector) root.getVector(i)).setSafe(0, words.get(i).getBytes(StandardCharsets.UTF_8));
         }
+        ((VarCharVector) root.getVector(words.size())).setSafe(0, row.value());
         root.setRowCount(1);
     }
 
--- a/src/test/java/dunlinhitch/standin/FrameStore.java
+++ b/src/test/java/dunlinhitch/standin/FrameStore.java
@@ -46,20 +46,26 @@
         } else {
             for (Seen part : parts(rest)) {
                 Do how = take(part);
-                String line = part.id() + " " + end(how) + " 1 latency_ms=5,queue=0\n";
                 if (how == Do.CUT) {
                     Buffer whole = frame('q', part.id() + " good 1 -\n" + value(part));
                     socket.write(whole.getBuffer(0, whole.length() - 3)).onComplete(v -> socket.close());
                     return;
-                } else if (how != Do.NOTHING) {
-                    socket.write(frame('q', line + (how == Do.GOOD ? value(part) : "")));
+                }
+                Row row = row(part, how);
+                Buffer frame = frame('q', Buffer.buffer(row.id() + " " + row.end() + " 1 " + row.report() + "\n")
+                        .appendBytes(row.value()));
+                for (int copies = how == Do.NOTHING ? 0 : how == Do.TWICE ? 2 : 1; copies > 0; copies--) {
+                    socket.write(frame);
                 }
             }
         }
     }
 
     public static Buffer frame(char letter, String rest) {
-        Buffer bytes = Buffer.buffer(rest);
+        return frame(letter, Buffer.buffer(rest));
+    }
+
+    private static Buffer frame(char letter, Buffer bytes) {
         return Buffer.buffer().appendUnsignedIntLE(1 + bytes.length()).appendByte((byte) letter).appendBuffer(bytes);
     }
 
--- a/src/test/java/dunlinhitch/standin/Stage.java
+++ b/src/test/java/dunlinhitch/standin/Stage.java
@@ -20,6 +20,8 @@
     public final Discovery discovery = new Discovery(vertx);
     public Broker broker;
     public int httpPort;
+    /** Descriptors that the broker may hold. */
+    public int sockets = Config.SOCKETS;
 
     public Stage() throws Exception {
         // the peers share the broker's loop: a broker that blocked it would get no answer at all
@@ -42,8 +44,8 @@
     /** Starts the broker on ports of its own and waits until it is ready. */
     public void start(Routing.Settings settings, Config.DnsService dns) throws Exception {
         Address any = new Address("127.0.0.1", 0);
-        Config config = new Config("n0", any, new Address("127.0.0.1", discovery.port()), 7, Json.object(), settings,
-                new Config.Fronts(any, dns));
+        Config config = new Config("n0", any, new Address("127.0.0.1", discovery.port()), 7, Json.object(), sockets,
+                settings,                new Config.Fronts(any, dns));
         Context context = vertx.getOrCreateContext();
         CompletableFuture<Integer> port = new CompletableFuture<>();
         context.runOnContext(v -> {
--- a/src/test/java/dunlinhitch/standin/Store.java
+++ b/src/test/java/dunlinhitch/standin/Store.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Function;
@@ -13,8 +14,27 @@
     public record Seen(String id, int shard, String list, String text) {
     }
 
-    /** What to do with a part: {@code CUT} breaks the answer off in the middle of the part's row. */
-    public enum Do { GOOD, BAD, LATER, NOTHING, CUT }
+    /**
+     * What to do with a part: {@code CUT} breaks the answer off in the middle of the part's row. Spoilt: a value that
+     * is no UTF-8, the id of no part, an end that there is none of. Good with more than belongs to it: a report that
+     * can not be read, a second copy.
+     */
+    public enum Do { GOOD, BAD, LATER, NOTHING, CUT, NO_TEXT, NO_PART, NO_END, NO_REPORT, TWICE }
+
+    /** An answer as it is to be written. */
+    protected record Row(String id, String end, String report, byte[] value) {
+    }
+
+    protected Row row(Seen part, Do how) {
+        boolean fails = how == Do.BAD || how == Do.LATER;
+        byte[] value = (fails ? "" : value(part)).getBytes(StandardCharsets.UTF_8);
+        if (how == Do.NO_TEXT) {
+            value[value.length - 1] = (byte) 0xc3;
+        }
+        return new Row(how == Do.NO_PART ? "x" + part.id() : part.id(),
+                fails ? how.name().toLowerCase(Locale.ROOT) : how == Do.NO_END ? "fine" : "good",
+                how == Do.NO_REPORT ? "latency_ms==;\u0007 queue" : "latency_ms=5,queue=0", value);
+    }
 
     public final String name;
     public final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
@@ -41,10 +61,6 @@
         return script.apply(part);
     }
 
-    protected static String end(Do how) {
-        return how.name().toLowerCase(java.util.Locale.ROOT);
-    }
-
     /** The parts of a call: lines {@code ID SHARD LIST LENGTH}, each with so many bytes behind it. */
     protected static List<Seen> parts(byte[] call) {
         List<Seen> parts = new ArrayList<>();
