--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -30,8 +30,16 @@
 
 /** One real broker: the fronts, the reducer, the ways to the stores and the watch, on one event loop. */
 public final class Broker {
-    /** After being asked to end it still takes requests for so long: PROTOCOL's 0.2 to 0.4 s, with room. */
+    /**
+     * PROTOCOL: after being asked to end, the process is left alone for this and the longest deadline (for 3 s where
+     * that is longer), and connections that stay open stay in use.
+     */
     private static final long GRACE_US = 700_000;
+    private static final long LONGEST_US = 3_000_000;
+    /** The last answer is written so long before that. */
+    private static final long ROOM_US = 250_000;
+    /** What crosses the closing of its connection comes so soon, if the listener is still there. */
+    private static final long CROSSING_US = 150_000;
     /** A list from before the start will do if discovery says nothing for so long. */
     private static final long KNOWN_WILL_DO_US = 1_000_000;
     /** Of the descriptors: clients with queries hold a third at most, and others are let in until it is half. */
@@ -56,6 +64,7 @@
     private int port;
     private int flightPort;
     private boolean warm;
+    private boolean ending;
 
     /** Must be made on the event loop that is to run it. */
     public Broker(Vertx vertx, Context context, Config config, Consumer<String> log) {
@@ -130,17 +139,23 @@
 
     private boolean ready() {
         boolean told = roster.answered() || known && clock.getAsLong() - startUs > KNOWN_WILL_DO_US;
-        return warm && told;
+        return warm && told && !ending;
     }
 
     /**
-     * Ends the broker: still takes what comes for the grace, answers with {@code Connection: close}, and is over when
-     * all that was taken is answered.
+     * Ends the broker. Until half of the longest deadline before its time it serves all who are connected as ever: the
+     * others may be restarting too, and the next process is started no sooner if this one leaves early. Then each
+     * answer closes its connection, and it is over when all that was taken is answered.
      */
     public Future<Void> stop() {
-        http.drain();
-        long dueUs = clock.getAsLong() + GRACE_US;
-        vertx.setTimer(MicroClock.timerMs(clock.getAsLong(), dueUs), t -> loop.accept(new Event.StopAsked()));
+        ending = true;
+        long now = clock.getAsLong();
+        long longestUs = Math.min(LONGEST_US, config.settings().classes().stream()
+                .mapToLong(kind -> kind.deadlineUs()).max().orElseThrow());
+        loop.accept(new Event.EndNamed(now + GRACE_US + longestUs - ROOM_US));
+        long drainUs = now + GRACE_US + longestUs / 2;
+        vertx.setTimer(MicroClock.timerMs(now, drainUs), t -> http.drain());
+        vertx.setTimer(MicroClock.timerMs(now, drainUs + CROSSING_US), t -> loop.accept(new Event.StopAsked()));
         return ended.future();
     }
 
--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -22,6 +22,7 @@
 public final class Main {
     static final String VERSION = "dunlinhitch 0.1.0";
 
+    private static final String FRONTS = "deploy/fronts.json";
     private static final int REHEARSAL_S = 20;
 
     private Main() {
@@ -34,13 +35,30 @@
     }
 
     public static void main(String[] arguments) {
-        int code = commandLine().execute(arguments);
+        int code = arguments.length == 1 && arguments[0].equals("serve") ? serve() : commandLine().execute(arguments);
         if (code != 0 || arguments.length == 0 || !arguments[0].equals("serve")) {
             System.out.flush();
             System.exit(code);
         }
     }
 
+    /**
+     * The platform's own command line, which has nothing to parse: to load what parses the others took a fifth of the
+     * processor time of a start, and while a broker starts its clients have none.
+     */
+    private static int serve() {
+        Serve serve = new Serve();
+        serve.told = new Told();
+        String file = System.getenv("ROUTER_CONFIG");
+        serve.told.file = file == null ? null : Path.of(file);
+        serve.told.fronts = Path.of(FRONTS);
+        try {
+            return serve.call();
+        } catch (InterruptedException | RuntimeException e) {
+            return complain(e);
+        }
+    }
+
     /** What is wrong with a command line or a configuration is one line on standard error, and exit code 2. */
     static CommandLine commandLine() {
         return new CommandLine(new Main())
@@ -58,7 +76,7 @@
         @Option(names = "--config", defaultValue = "${env:ROUTER_CONFIG}", description = "the configuration, as JSON")
         private Path file;
 
-        @Option(names = "--fronts", defaultValue = "deploy/fronts.json",
+        @Option(names = "--fronts", defaultValue = FRONTS,
                 description = "what more is switched on (default: ${DEFAULT-VALUE}, if it is there)")
         private Path fronts;
 
@@ -100,6 +118,8 @@
                     fault[0] = bound.cause();
                     System.out.println(config.name() + " listens on " + config.listen().host() + ":"
                             + bound.result());
+                    config.settings().classes().forEach(kind -> System.out.println("class " + kind.name() + ": aim "
+                            + kind.aimUs() + " us, deadline " + kind.deadlineUs() + " us"));
                     started.countDown();
                 });
             });
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -39,6 +39,10 @@
     record DiscoveryNamed(String host, int port) implements Event {
     }
 
+    /** The process is to end: whatever is taken from now on has its answer by then. */
+    record EndNamed(long dueUs) implements Event {
+    }
+
     /** The grace before the end is over: what is open is finished, and nothing new is taken. */
     record StopAsked() implements Event {
     }
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -52,6 +52,7 @@
     private long lastProbe;
     private int lastStore;
     private Event.DiscoveryNamed discovery;
+    private long endUs = Long.MAX_VALUE;
     private boolean stopping;
     private boolean finished;
 
@@ -113,6 +114,8 @@
             rosterNews(e);
         } else if (event instanceof Event.DiscoveryNamed e) {
             discoveryNamed(e);
+        } else if (event instanceof Event.EndNamed e) {
+            endUs = e.dueUs();
         } else if (event instanceof Event.StopAsked) {
             stopping = true;
         } else if (event instanceof Event.Noted e) {
@@ -134,7 +137,7 @@
     // ---- queries
 
     private void queryTaken(Event.QueryTaken e) {
-        QueryAsk ask = e.ask();
+        QueryAsk ask = e.ask().dueBy(endUs);
         counters.add(Count.QUERIES_TAKEN);
         boolean full = stopping || tables.held() + 1 + ask.parts().size() > settings.limits().mostHeld();
         if (full || ask.deadlineUs() <= now || tables.byId.containsKey(ask.id())) {
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -132,6 +132,16 @@
         assertEquals(1, reducer.counters().get(Count.DISCOVERY_MOVED));
     }
 
+    /** What is taken after the word that the process ends must not be open when it is killed. */
+    @Test
+    void whatIsTakenBeforeTheEndIsAnsweredBeforeIt() {
+        stores();
+        turn(new Event.EndNamed(now + SECOND / 2));
+        turn(query(1, 1, 1));
+        run(SECOND / 2);
+        assertTrue(answer(1) instanceof Answer.OutOfTime, "answer: " + answer(1));
+    }
+
     @Test
     void theEndWaitsForWhatIsOpenAndTakesNothingNew() {
         stores();
--- a/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
@@ -143,19 +143,28 @@
         assertEquals(1, stage.count("queries_taken"));
     }
 
-    /** An idle connection is closed as soon as the end is near, while the client can still open another. */
+    /**
+     * A broker that is to end serves those who are connected until its time is near, for the others may be restarting
+     * too; then idle connections are closed, while the client can still open another.
+     */
     @Test
-    void idleConnectionsAreClosedWhileTheListenerStillTakesNewOnes() throws Exception {
+    void connectionsAreServedUntilTheEndIsNearAndClosedBeforeTheListener() throws Exception {
         try (Socket idle = new Socket("127.0.0.1", stage.httpPort)) {
             idle.setSoTimeout(5_000);
-            idle.getOutputStream().write("GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.UTF_8));
             BufferedReader in = new BufferedReader(new InputStreamReader(idle.getInputStream(), StandardCharsets.UTF_8));
-            assertTrue(in.readLine().contains("200"));
             var ended = stage.stop();
+            assertEquals(503, status("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"));
+            for (int i = 0; i < 2; i++) {
+                idle.getOutputStream().write("GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                assertTrue(in.readLine().contains("200"));
+                while (!in.readLine().equals("live")) {
+                    assertTrue(!ended.isDone(), "it is served first");
+                }
+            }
             while (in.readLine() != null) {
                 assertTrue(!ended.isDone(), "it must be closed before the listener");
             }
-            assertEquals(503, status("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"));
+            assertEquals(200, status("GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"));
             ended.get(5, TimeUnit.SECONDS);
         }
     }
