--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -26,7 +26,7 @@
     private static final String FRONTS = "deploy/fronts.json";
     private static final int REHEARSAL_S = 20;
     private static final int QUERIES_TO_LOAD = 20;
-    private static final int QUERIES_TO_COMPILE = 150;
+    private static final int QUERIES_TO_COMPILE = 300;
     private static final String REHEARSAL = """
             {"FailureDomains":["here"],"TickUs":1000,
              "Classes":[{"Name":"a","OnTimeUs":1000000,"DeadlineUs":2000000,"Idempotency":"free"}],
--- a/src/main/java/dunlinhitch/Rehearsal.java
+++ b/src/main/java/dunlinhitch/Rehearsal.java
@@ -73,34 +73,39 @@
                     return broker.start().compose(port -> {
                         List<Future<Void>> asked = new ArrayList<>();
                         for (int i = 0; i < CLIENTS; i++) {
-                            asked.add(clients.connect(port, host).compose(this::ask));
+                            asked.add(ask(clients, port));
                         }
                         return Future.join(asked);
                     }).eventually(clients::close).eventually(broker::close).eventually(bound::close);
                 }).otherwiseEmpty().map(v -> served);
     }
 
-    /** Asks one query after the other until none is left to ask. */
-    private Future<Void> ask(NetSocket socket) {
-        Promise<Void> done = Promise.promise();
-        socket.closeHandler(v -> done.tryComplete());
-        socket.handler(answer -> {
-            if (answer.toString().startsWith("HTTP/1.1 200")) {
-                served++;
-                next(socket);
-            } else { // with settings that serve nobody there is nothing to compile
-                socket.close();
-            }
+    /** Asks two queries a connection, for clients are new all the time, until none is left to ask. */
+    private Future<Void> ask(NetClient clients, int port) {
+        return clients.connect(port, host).compose(socket -> {
+            int[] answers = {0};
+            boolean[] good = {true};
+            Promise<Void> closed = Promise.promise();
+            socket.closeHandler(v -> closed.tryComplete());
+            socket.handler(answer -> {
+                good[0] = answer.toString().startsWith("HTTP/1.1 200");
+                served += good[0] ? 1 : 0;
+                if (good[0] && ++answers[0] < 2 && mayAsk()) {
+                    next(socket);
+                } else { // with settings that serve nobody there is nothing to compile
+                    socket.close();
+                }
+            });
+            next(socket);
+            return closed.future().compose(v -> good[0] && mayAsk() ? ask(clients, port) : Future.succeededFuture());
         });
-        next(socket);
-        return done.future();
+    }
+
+    private boolean mayAsk() {
+        return toAsk > 0 && clock.getAsLong() < dueUs;
     }
 
     private void next(NetSocket socket) {
-        if (toAsk <= 0 || clock.getAsLong() >= dueUs) {
-            socket.close();
-            return;
-        }
         String id = "rehearsal-" + toAsk--;
         String path = settings.classes().get(toAsk % settings.classes().size()).name();
         socket.write("POST /" + path + " HTTP/1.1\r\nHost: self\r\nX-Trace-Id: " + id + "\r\nIdempotency-Key: " + id
