An address for operators: /ready and /metrics, counted in the reducer for both wires

Ruled out: counting at the send effect, which counts parts that are given up before their connection is up. A Flight test took any event for the next end; calls written are now reported too.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -1,5 +1,6 @@
 package dunlinhitch;
 
+import dunlinhitch.admin.AdminFront;
 import dunlinhitch.config.Config;
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Effect;
@@ -56,6 +57,7 @@
     private final Loop loop;
     private final Exchanges exchanges;
     private final HttpFront http;
+    private final AdminFront admin;
     private final Stores stores;
     private final Source roster;
     private final Front flight;
@@ -71,13 +73,14 @@
         this.vertx = vertx;
         this.config = config;
         this.log = log;
-        vertx.exceptionHandler(this::fault);
         reducer = new Reducer(config.settings(), config.seed(), startUs);
         loop = new Loop(vertx, context, reducer, clock, config.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(config.settings());
         http = new HttpFront(vertx, exchanges, queries, loop, clock, config.sockets() / CLIENTS_PART, this::ready,
                 () -> reducer.counters().lines());
+        admin = config.admin() == null ? null
+                : new AdminFront(vertx, this::ready, reducer::figures, loop, clock);
         Reports reports = new Reports(config.settings().reportFields());
         FrameTransport.Shared frames =
                 new FrameTransport.Shared(vertx, config.settings().limits(), config.sockets() / STORES_PART, reports,
@@ -109,8 +112,15 @@
         return flightStores.open(entry);
     }
 
+    /** Listens for operators, where they have an address, before clients are let in; the result is its port, or 0. */
+    public Future<Integer> openDesk() {
+        return admin == null ? Future.succeededFuture(0)
+                : admin.listen(config.admin().host(), config.admin().port());
+    }
+
     /** Listens and follows discovery; the result is the port of the HTTP front. */
     public Future<Integer> start() {
+        vertx.exceptionHandler(this::fault);
         roster.start();
         return http.listen(config.listen().host(), config.listen().port())
                 .onSuccess(bound -> port = bound)
@@ -203,7 +213,8 @@
             log.accept(e.text());
         } else if (effect instanceof Effect.Finished) {
             roster.stop();
-            Future.join(http.close(), flight == null ? Future.succeededFuture() : flight.close()).onComplete(done -> {
+            Future.join(http.close(), flight == null ? Future.succeededFuture() : flight.close(),
+                    admin == null ? Future.succeededFuture() : admin.close()).onComplete(done -> {
                 stores.close();
                 if (flightStores != null) {
                     flightStores.close();
--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -116,8 +116,7 @@
             CountDownLatch started = new CountDownLatch(1);
             Throwable[] fault = {null};
             Broker[] broker = {null};
-            context.runOnContext(v -> new Rehearsal(vertx, context, config.settings(), config.listen().host(),
-                    QUERIES_TO_COMPILE).run().onComplete(rehearsed -> {
+            context.runOnContext(v -> {
                 try {
                     broker[0] = new Broker(vertx, context, config, System.out::println);
                 } catch (RuntimeException | LinkageError e) {
@@ -125,15 +124,17 @@
                     started.countDown();
                     return;
                 }
-                broker[0].start().onComplete(bound -> {
-                    fault[0] = bound.cause();
-                    System.out.println(config.name() + " listens on " + config.listen().host() + ":"
-                            + bound.result());
-                    config.settings().classes().forEach(kind -> System.out.println("class " + kind.name() + ": aim "
-                            + kind.aimUs() + " us, deadline " + kind.deadlineUs() + " us"));
-                    started.countDown();
-                });
-            }));
+                broker[0].openDesk().compose(desk -> new Rehearsal(vertx, context, config.settings(),
+                        config.listen().host(), QUERIES_TO_COMPILE).run()).compose(rehearsed -> broker[0].start())
+                        .onComplete(bound -> {
+                            fault[0] = bound.cause();
+                            System.out.println(config.name() + " listens on " + config.listen().host() + ":"
+                                    + bound.result());
+                            config.settings().classes().forEach(kind -> System.out.println("class " + kind.name()
+                                    + ": aim " + kind.aimUs() + " us, deadline " + kind.deadlineUs() + " us"));
+                            started.countDown();
+                        });
+            });
             Signals.on("HUP", () -> context.runOnContext(v -> {
                 if (broker[0] != null) {
                     broker[0].reload(told::discovery);
--- a/src/main/java/dunlinhitch/Rehearsal.java
+++ b/src/main/java/dunlinhitch/Rehearsal.java
@@ -68,7 +68,7 @@
         return peers.connectHandler(socket -> socket.handler(new Peer(socket, peers)::read)).listen(0, host)
                 .compose(bound -> {
                     Address any = new Address(host, 0);
-                    Broker broker = new Broker(vertx, context, new Config("rehearsal", any,
+                    Broker broker = new Broker(vertx, context, new Config("rehearsal", any, null,
                             new Address(host, bound.actualPort()), 1, Json.object(), Config.SOCKETS, settings,
                             Config.Fronts.NONE), line -> { });
                     return broker.start().compose(port -> {
--- a/src/main/java/dunlinhitch/config/Config.java
+++ b/src/main/java/dunlinhitch/config/Config.java
@@ -13,14 +13,15 @@
 
 /**
  * What a broker is told at its start: a JSON file, with name and addresses over-ridden by the environment.
- * {@code known} is the list of stores as the broker last had it, empty if there was none.
+ * {@code admin}, where operators call, may be null; {@code known} is the list of stores as the broker last had it, empty if there was none.
  */
-public record Config(String name, Address listen, Address discovery, long seed, JsonObject known,
+public record Config(String name, Address listen, Address admin, Address discovery, long seed, JsonObject known,
         int sockets, Routing.Settings settings, Fronts fronts) {
     /** Where the file does not say how many descriptors the process may hold. */
     public static final int SOCKETS = 1024;
     private static final int LEAST_SOCKETS = 64;
 
+    private static final String ADMIN = "ROUTER_ADMIN_ADDR";
     private static final String DISCOVERY = "ROUTER_DISCOVERY";
 
     /** What the file of fronts switches on; null: off. */
@@ -69,6 +70,7 @@
             JsonValue known = root.get("known");
             return new Config(env.getOrDefault("ROUTER_NAME", root.getString("name", "broker")),
                     Address.parse("listen", env.getOrDefault("ROUTER_LISTEN", root.getString("listen", ""))),
+                    admin(env.getOrDefault(ADMIN, root.getString("admin_addr", ""))),
                     Address.parse("discovery", env.getOrDefault(DISCOVERY, root.getString("discovery", ""))),
                     Long.parseUnsignedLong(root.getString("seed", "0"), 16),
                     known == null || known.isNull() ? Json.object() : known.asObject(),
@@ -81,6 +83,10 @@
         }
     }
 
+    private static Address admin(String text) {
+        return text.isEmpty() ? null : Address.parse("admin_addr", text);
+    }
+
     private static int sockets(JsonValue limits) {
         int sockets = limits == null || limits.isNull() ? SOCKETS : limits.asObject().getInt("sockets", SOCKETS);
         if (sockets < LEAST_SOCKETS) {
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -24,6 +24,10 @@
         }
     }
 
+    /** So many attempts of a call have been written whole to a store. */
+    record TriesWritten(int tries) implements Event {
+    }
+
     /** A probe came back. */
     record ProbeOver(long probe, Outcome outcome, float[] report) implements Event {
     }
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -40,6 +40,7 @@
     private final Policy policy;
     private final Tables tables = new Tables();
     private final Counters counters = new Counters();
+    private final Tallies tallies = new Tallies();
     private final PriorityQueue<Due> dues =
             new PriorityQueue<>(Comparator.comparingLong(Due::atUs).thenComparingLong(Due::order));
     private final List<Routing.Event> owed = new ArrayList<>();
@@ -59,6 +60,7 @@
     public Reducer(Settings settings, long seed, long nowUs) {
         this.settings = settings;
         now = nowUs;
+        settings.classes().forEach(kind -> tallies.known(kind.name()));
         policy = new Policy(settings, seed, new Acts());
         policy.on(now, new Routing.Start());
     }
@@ -67,6 +69,14 @@
         return counters;
     }
 
+    /** What operators are told. */
+    public Figures figures() {
+        List<StoreRow> listed = tables.stores.values().stream().filter(row -> row.state() != ServerState.GONE).toList();
+        int skipped = (int) listed.stream().filter(row -> row.state() == ServerState.DRAINING).count();
+        return new Figures(tallies.list(), counters.get(Count.ATTEMPTS_WRITTEN), open(), listed.size(), skipped,
+                counters.get(Count.CONFIGURATIONS_TAKEN), counters.get(Count.BAD_CONFIGURATIONS));
+    }
+
     /** Queries that still wait for their answer. */
     public int open() {
         return tables.queries.size();
@@ -108,6 +118,8 @@
             if (row != null) {
                 tell(end(row, e.outcome(), e.report(), e.value()));
             }
+        } else if (event instanceof Event.TriesWritten e) {
+            counters.add(Count.ATTEMPTS_WRITTEN, e.tries());
         } else if (event instanceof Event.ProbeOver e) {
             probeOver(e.probe(), e.outcome(), e.report());
         } else if (event instanceof Event.RosterNews e) {
@@ -143,7 +155,7 @@
         if (full || ask.deadlineUs() <= now || tables.byId.containsKey(ask.id())) {
             counters.add(Count.TURNED_AWAY);
             long comeBackUs = settings.limits().retryAfter() ? settings.limits().maxRetryAfterUs() : 0;
-            effects.add(new Effect.Reply(e.exchange(), new Answer.Refused(comeBackUs)));
+            say(e.exchange(), ask, new Answer.Refused(comeBackUs));
             return;
         }
         QueryRow q = new QueryRow(++lastNumber, e.exchange(), ask);
@@ -183,7 +195,13 @@
     private void reply(QueryRow q, Answer answer, Count what) {
         counters.add(what);
         tables.remove(q);
-        effects.add(new Effect.Reply(q.exchange, answer));
+        say(q.exchange, q.ask, answer);
+    }
+
+    /** The one place where a request ends for its client, and so in one figure. */
+    private void say(long exchange, QueryAsk ask, Answer answer) {
+        tallies.ended(settings.classes().get(ask.queryClass()).name(), answer);
+        effects.add(new Effect.Reply(exchange, answer));
     }
 
     /** A failure in the last moments of a client's time is worded as what it is. */
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
@@ -34,6 +34,7 @@
     private final FlightClient client;
     private final Consumer<Event.AttemptOver> over;
     private final byte[] ticket;
+    private final int tries;
     private final long sentUs;
     private final long dueUs;
     /** Parts without their row; only the loop touches it. */
@@ -47,6 +48,7 @@
         this.shared = shared;
         this.client = client;
         this.over = over;
+        tries = parts.size();
         sentUs = shared.nowUs();
         ticket = CallText.of(parts, sentUs);
         dueUs = parts.stream().mapToLong(PartSend::dueUs).max().orElseThrow();
@@ -80,7 +82,9 @@
     @Override
     public void run() {
         try {
-            read(client.getStream(new Ticket(ticket), FlightTransport.until(dueUs, shared.nowUs())));
+            FlightStream made = client.getStream(new Ticket(ticket), FlightTransport.until(dueUs, shared.nowUs()));
+            shared.onLoop(() -> shared.events().accept(new Event.TriesWritten(tries)));
+            read(made);
         } catch (RuntimeException e) {
             // the stream was cut, cancelled or never began: what has no row by now may have run
         }
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
@@ -128,6 +128,7 @@
             return;
         }
         Future<Void> write = socket.write(Frames.frame('m', CallText.of(parts, usedUs)));
+        write.onSuccess(v -> shared.events.accept(new Event.TriesWritten(parts.size())));
         parts.forEach(p -> out.put(p.partId(), new Out(p.attempt(), p.partId(), usedUs, write)));
     }
 
--- a/src/test/java/dunlinhitch/PackagesTest.java
+++ b/src/test/java/dunlinhitch/PackagesTest.java
@@ -23,6 +23,7 @@
             "core", Set.of("core", "decide"),
             "config", Set.of("config", "decide"),
             "intake", Set.of("intake", "core", "decide"),
+            "admin", Set.of("admin", "core", "decide"),
             "dispatch", Set.of("dispatch", "core", "decide"),
             "roster", Set.of("roster", "core", "decide"),
             "wire", Set.of("wire", "config", "decide"));
--- a/src/test/java/dunlinhitch/dispatch/flight/FlightTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/flight/FlightTransportTest.java
@@ -60,11 +60,20 @@
         return new PartSend(attempt, "q." + shard, shard, "", real.getAsLong() + aheadUs + 3_000_000, "text");
     }
 
-    private void expect(long attempt, Outcome outcome) throws InterruptedException {
+    /** What is reported of written calls comes at a time of its own. */
+    private Event next() throws InterruptedException {
         Event event = events.poll(5, TimeUnit.SECONDS);
-        while (event instanceof Event.Noted) {
+        while (event instanceof Event.TriesWritten) {
             event = events.poll(5, TimeUnit.SECONDS);
         }
+        return event;
+    }
+
+    private void expect(long attempt, Outcome outcome) throws InterruptedException {
+        Event event = next();
+        while (event instanceof Event.Noted) {
+            event = next();
+        }
         assertTrue(event instanceof Event.AttemptOver, "came: " + event);
         assertEquals(attempt, ((Event.AttemptOver) event).attempt());
         assertEquals(outcome, ((Event.AttemptOver) event).outcome());
@@ -101,7 +110,7 @@
             transport.giveUp(1);
             transport.call(List.of(part(2, 1)));
         });
-        assertEquals(new Event.Noted(Count.CONNECTIONS_OPENED), events.poll(5, TimeUnit.SECONDS));
+        assertEquals(new Event.Noted(Count.CONNECTIONS_OPENED), next());
         expect(2, Outcome.OK);
         assertEquals("q.0", store.givenUp.poll(5, TimeUnit.SECONDS));
     }
--- a/src/test/java/dunlinhitch/standin/Stage.java
+++ b/src/test/java/dunlinhitch/standin/Stage.java
@@ -20,6 +20,7 @@
     public final Discovery discovery = new Discovery(vertx);
     public Broker broker;
     public int httpPort;
+    public volatile int adminPort;
     /** Descriptors that the broker may hold. */
     public int sockets = Config.SOCKETS;
 
@@ -44,14 +45,14 @@
     /** Starts the broker on ports of its own and waits until it is ready. */
     public void start(Routing.Settings settings, Config.DnsService dns) throws Exception {
         Address any = new Address("127.0.0.1", 0);
-        Config config = new Config("n0", any, new Address("127.0.0.1", discovery.port()), 7, Json.object(), sockets,
-                settings,                new Config.Fronts(any, dns));
+        Config config = new Config("n0", any, any, new Address("127.0.0.1", discovery.port()), 7, Json.object(), sockets,
+                settings, new Config.Fronts(any, dns));
         Context context = vertx.getOrCreateContext();
         CompletableFuture<Integer> port = new CompletableFuture<>();
         context.runOnContext(v -> {
             try {
                 broker = new Broker(vertx, context, config, line -> { });
-                broker.start().onSuccess(port::complete).onFailure(port::completeExceptionally);
+                broker.openDesk().onSuccess(desk -> adminPort = desk).compose(desk -> broker.start()).onSuccess(port::complete).onFailure(port::completeExceptionally);
             } catch (RuntimeException | Error e) {
                 port.completeExceptionally(e);
             }
