SIGHUP takes new settings whole, in one event; open queries keep their class

Lines at fault: Broker.reload took the address alone; Policy, QueryReader, Reports, FrameTransport.Shared, FlightStores and Loop each held the settings of the start, Query and QueryAsk the number of a class. Ruled out: re-reading in the loop (a file read must not stop it).

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -74,16 +74,16 @@
         this.config = config;
         this.log = log;
         reducer = new Reducer(config.settings(), config.seed(), startUs);
-        loop = new Loop(vertx, context, reducer, clock, config.settings().tickUs(), this::fault);
+        loop = new Loop(vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
-        QueryReader queries = new QueryReader(config.settings());
+        QueryReader queries = new QueryReader(reducer::settings);
         http = new HttpFront(vertx, exchanges, queries, loop, clock, config.sockets() / CLIENTS_PART, this::ready,
                 () -> reducer.counters().lines());
         admin = config.admin() == null ? null
                 : new AdminFront(vertx, this::ready, reducer::figures, loop, clock);
-        Reports reports = new Reports(config.settings().reportFields());
+        Reports reports = new Reports(() -> reducer.settings().reportFields());
         FrameTransport.Shared frames =
-                new FrameTransport.Shared(vertx, config.settings().limits(), config.sockets() / STORES_PART, reports,
+                new FrameTransport.Shared(vertx, () -> reducer.settings().limits(), config.sockets() / STORES_PART, reports,
                         clock, loop);
         // no class of Arrow is loaded unless this front is on or a store speaks Flight
         flight = config.fronts().flight() == null ? null
@@ -107,7 +107,7 @@
             return new FrameTransport(frames, entry);
         }
         if (flightStores == null) {
-            flightStores = new FlightStores(vertx, context, config.settings().limits(), reports, clock, loop);
+            flightStores = new FlightStores(vertx, context, () -> reducer.settings().limits(), reports, clock, loop);
         }
         return flightStores.open(entry);
     }
@@ -156,7 +156,7 @@
     public Future<Void> stop() {
         ending = true;
         long now = clock.getAsLong();
-        long longestUs = Math.min(LONGEST_US, config.settings().classes().stream()
+        long longestUs = Math.min(LONGEST_US, reducer.settings().classes().stream()
                 .mapToLong(kind -> kind.deadlineUs()).max().orElseThrow());
         loop.accept(new Event.EndNamed(now + GRACE_US + longestUs - ROOM_US));
         long drainUs = now + GRACE_US + longestUs / 2;
@@ -171,11 +171,14 @@
         return ended.future();
     }
 
-    /** The configuration was read again; of all that it holds only discovery's address may move. */
-    public void reload(Supplier<Config.Address> discovery) {
-        vertx.executeBlocking(discovery::get).onComplete(read -> {
+    /** The configuration is read again, off the loop: its settings and discovery's address hold from then on. */
+    public void reload(Supplier<Config> again) {
+        vertx.executeBlocking(again::get).onComplete(read -> {
             if (read.succeeded()) {
-                loop.accept(new Event.DiscoveryNamed(read.result().host(), read.result().port()));
+                Config.Address discovery = read.result().discovery();
+                loop.accept(new Event.ConfigTaken(read.result().settings(), discovery.host(), discovery.port()));
+                log.accept("the configuration was taken: classes " + read.result().settings().classes().stream()
+                        .map(kind -> kind.name()).toList());
             } else {
                 log.accept("the configuration stays as it was: " + read.cause().getMessage());
                 loop.accept(new Event.Noted(Count.BAD_CONFIGURATIONS));
--- a/src/main/java/dunlinhitch/Loop.java
+++ b/src/main/java/dunlinhitch/Loop.java
@@ -20,7 +20,7 @@
     private final Context context;
     private final Reducer reducer;
     private final LongSupplier clock;
-    private final long tickUs;
+    private final LongSupplier tickUs;
     private final Consumer<Throwable> faults;
     private Consumer<Effect> edges = effect -> { };
     private List<Event> gathered = new ArrayList<>();
@@ -29,7 +29,7 @@
     private long timer = -1;
     private boolean ended;
 
-    Loop(Vertx vertx, Context context, Reducer reducer, LongSupplier clock, long tickUs,
+    Loop(Vertx vertx, Context context, Reducer reducer, LongSupplier clock, LongSupplier tickUs,
             Consumer<Throwable> faults) {
         this.vertx = vertx;
         this.context = context;
@@ -48,7 +48,7 @@
     @Override
     public void accept(Event event) {
         gathered.add(event);
-        wake(lastTurnUs + tickUs);
+        wake(lastTurnUs + tickUs.getAsLong());
     }
 
     /** Sees to it that a turn begins at that time at the latest. */
@@ -83,7 +83,7 @@
             effects = reducer.turn(lastTurnUs, events);
         } catch (RuntimeException e) { // the turns that follow still end what is open when its time is over
             faults.accept(e);
-            effects = List.of(new Effect.WakeAt(lastTurnUs + tickUs));
+            effects = List.of(new Effect.WakeAt(lastTurnUs + tickUs.getAsLong()));
         }
         for (Effect effect : effects) {
             carryOut(effect);
@@ -93,7 +93,7 @@
     /** A fault at one edge must not keep the other effects of the turn from being carried out. */
     private void carryOut(Effect effect) {
         if (effect instanceof Effect.WakeAt e) {
-            wake(Math.max(e.dueUs(), lastTurnUs + tickUs));
+            wake(Math.max(e.dueUs(), lastTurnUs + tickUs.getAsLong()));
             return;
         }
         ended |= effect instanceof Effect.Finished; // nothing is due any more: no timer is to keep this alive
--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -1,6 +1,7 @@
 package dunlinhitch;
 
 import dunlinhitch.config.Config;
+import dunlinhitch.config.ConfigFile;
 import dunlinhitch.config.SettingsReader;
 import dunlinhitch.wire.WireHost;
 import io.vertx.core.Context;
@@ -90,15 +91,11 @@
                 description = "what more is switched on (default: ${DEFAULT-VALUE}, if it is there)")
         private Path fronts;
 
-        Config config() {
+        ConfigFile config() {
             if (file == null) {
                 throw new Config.ConfigException("name a configuration with --config or ROUTER_CONFIG");
             }
-            return Config.read(file, fronts, System.getenv());
-        }
-
-        Config.Address discovery() {
-            return Config.discoveryAgain(file, fronts, System.getenv());
+            return new ConfigFile(file, fronts, System.getenv());
         }
     }
 
@@ -110,7 +107,8 @@
 
         @Override
         public Integer call() throws InterruptedException {
-            Config config = told.config();
+            ConfigFile file = told.config();
+            Config config = file.read();
             Vertx vertx = oneLoop();
             Context context = vertx.getOrCreateContext();
             CountDownLatch started = new CountDownLatch(1);
@@ -137,7 +135,7 @@
             });
             Signals.on("HUP", () -> context.runOnContext(v -> {
                 if (broker[0] != null) {
-                    broker[0].reload(told::discovery);
+                    broker[0].reload(file::again);
                 }
             }));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> finish(context, broker[0]), "finish"));
@@ -183,7 +181,7 @@
 
         @Override
         public Integer call() {
-            Config config = told.config();
+            Config config = told.config().read();
             System.out.println(config.name() + ": " + config.settings().classes().size() + " classes, "
                     + config.settings().layout().shards() + " shards, listens on " + config.listen().host() + ":"
                     + config.listen().port());
--- a/src/main/java/dunlinhitch/config/Config.java
+++ b/src/main/java/dunlinhitch/config/Config.java
@@ -8,7 +8,6 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.util.HashMap;
 import java.util.Map;
 
 /**
@@ -22,7 +21,7 @@
     private static final int LEAST_SOCKETS = 64;
 
     private static final String ADMIN = "ROUTER_ADMIN_ADDR";
-    private static final String DISCOVERY = "ROUTER_DISCOVERY";
+    static final String DISCOVERY = "ROUTER_DISCOVERY";
 
     /** What the file of fronts switches on; null: off. */
     public record Fronts(Address flight, DnsService dnsSd) {
@@ -58,9 +57,8 @@
         }
     }
 
-    /** Reads the files; {@code env} holds the ROUTER_ variables. Without the file of fronts none is switched on. */
-    public static Config read(Path file, Path frontsFile, Map<String, String> env) {
-        JsonObject root = json(file);
+    /** From what the file holds; {@code env} holds the ROUTER_ variables. Without the file of fronts none is on. */
+    static Config read(Path file, JsonObject root, Path frontsFile, Map<String, String> env) {
         Fronts fronts = Files.exists(frontsFile) ? fronts(frontsFile, json(frontsFile)) : Fronts.NONE;
         try {
             JsonValue settings = root.get("settings");
@@ -95,17 +93,7 @@
         return sockets;
     }
 
-    /**
-     * Where discovery is by a file that has been replaced since the start. The file is read whole, so that one that
-     * is cut short moves nothing; here it goes before the environment, which still says what it did at the start.
-     */
-    public static Address discoveryAgain(Path file, Path frontsFile, Map<String, String> env) {
-        Map<String, String> rest = new HashMap<>(env);
-        rest.remove(DISCOVERY);
-        return read(file, frontsFile, rest).discovery();
-    }
-
-    private static JsonObject json(Path file) {
+    static JsonObject json(Path file) {
         try {
             return Json.parse(Files.readString(file)).asObject();
         } catch (NoSuchFileException e) {
--- a/src/main/java/dunlinhitch/config/SettingsReader.java
+++ b/src/main/java/dunlinhitch/config/SettingsReader.java
@@ -135,14 +135,23 @@
         return e == null ? otherwise : e.asDouble();
     }
 
+    /** A figure that counts something: none so large that it could not be one. */
+    private static double count(String key, JsonValue e) {
+        double value = e.asDouble();
+        if (!(Math.abs(value) < 1e15)) {
+            throw new IllegalArgumentException(key + " is out of range: " + e);
+        }
+        return value;
+    }
+
     private static long whole(JsonObject o, String key, long otherwise) {
         JsonValue e = get(o, key);
-        return e == null ? otherwise : (long) e.asDouble();
+        return e == null ? otherwise : (long) count(key, e);
     }
 
     private static int integer(JsonObject o, String key, int otherwise) {
         JsonValue e = get(o, key);
-        return e == null ? otherwise : (int) e.asDouble();
+        return e == null ? otherwise : (int) count(key, e);
     }
 
     private static boolean flag(JsonObject o, String key, boolean otherwise) {
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -2,6 +2,7 @@
 
 import dunlinhitch.decide.Routing.ListKind;
 import dunlinhitch.decide.Routing.Outcome;
+import dunlinhitch.decide.Routing.Settings;
 import java.util.List;
 
 /** Something that happened at an edge; the {@link Reducer} takes them in order. */
@@ -39,10 +40,14 @@
         }
     }
 
-    /** The configuration names discovery's address: at the start, and whenever it was read again. */
+    /** The configuration names discovery's address: at the start. */
     record DiscoveryNamed(String host, int port) implements Event {
     }
 
+    /** The configuration was read again and can be used: from now on its settings and its discovery's address hold. */
+    record ConfigTaken(Settings settings, String host, int port) implements Event {
+    }
+
     /** The process is to end: whatever is taken from now on has its answer by then. */
     record EndNamed(long dueUs) implements Event {
     }
--- a/src/main/java/dunlinhitch/core/QueryAsk.java
+++ b/src/main/java/dunlinhitch/core/QueryAsk.java
@@ -1,12 +1,13 @@
 package dunlinhitch.core;
 
+import dunlinhitch.decide.Routing.QueryClass;
 import java.util.List;
 
 /**
  * What a client asks, whichever front it came by. {@code key} is empty where the class carries none; {@code text}
- * is what each part has to carry; {@code deadlineUs} is when the client stops waiting.
+ * is what each part has to carry; {@code kind} is the class itself, for its place in the settings may shift; {@code deadlineUs} is when the client stops waiting.
  */
-public record QueryAsk(String id, String key, int queryClass, long deadlineUs, boolean repeat, List<PartAsk> parts,
+public record QueryAsk(String id, String key, QueryClass kind, long deadlineUs, boolean repeat, List<PartAsk> parts,
         String text) {
     /** One part: its shard, its share of the whole and, where above 0, a guess at its work. */
     public record PartAsk(int shard, double weight, long hintUs) {
@@ -18,6 +19,11 @@
 
     /** The same with the earlier of two deadlines. */
     public QueryAsk dueBy(long otherUs) {
-        return new QueryAsk(id, key, queryClass, Math.min(deadlineUs, otherUs), repeat, parts, text);
+        return new QueryAsk(id, key, kind, Math.min(deadlineUs, otherUs), repeat, parts, text);
+    }
+
+    /** The same under what its class has become since it was read. */
+    public QueryAsk under(QueryClass now) {
+        return new QueryAsk(id, key, now, deadlineUs, repeat, parts, text);
     }
 }
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -36,7 +36,7 @@
 
     private enum DueKind { ALARM, ATTEMPT, PROBE, QUERY }
 
-    private final Settings settings;
+    private Settings settings;
     private final Policy policy;
     private final Tables tables = new Tables();
     private final Counters counters = new Counters();
@@ -69,6 +69,11 @@
         return counters;
     }
 
+    /** The settings that hold now; edges ask each time, for a new configuration may bring others. */
+    public Settings settings() {
+        return settings;
+    }
+
     /** What operators are told. */
     public Figures figures() {
         List<StoreRow> listed = tables.stores.values().stream().filter(row -> row.state() != ServerState.GONE).toList();
@@ -126,6 +131,8 @@
             rosterNews(e);
         } else if (event instanceof Event.DiscoveryNamed e) {
             discoveryNamed(e);
+        } else if (event instanceof Event.ConfigTaken e) {
+            configTaken(e);
         } else if (event instanceof Event.EndNamed e) {
             endUs = e.dueUs();
         } else if (event instanceof Event.StopAsked) {
@@ -149,16 +156,18 @@
     // ---- queries
 
     private void queryTaken(Event.QueryTaken e) {
-        QueryAsk ask = e.ask().dueBy(endUs);
+        int queryClass = classOf(e.ask().kind().name());
+        QueryAsk ask = e.ask().dueBy(endUs).under(queryClass < 0 ? e.ask().kind() : settings.classes().get(queryClass));
         counters.add(Count.QUERIES_TAKEN);
-        boolean full = stopping || tables.held() + 1 + ask.parts().size() > settings.limits().mostHeld();
+        boolean full = queryClass < 0 // dropped since it was read
+                || stopping || tables.held() + 1 + ask.parts().size() > settings.limits().mostHeld();
         if (full || ask.deadlineUs() <= now || tables.byId.containsKey(ask.id())) {
             counters.add(Count.TURNED_AWAY);
             long comeBackUs = settings.limits().retryAfter() ? settings.limits().maxRetryAfterUs() : 0;
             say(e.exchange(), ask, new Answer.Refused(comeBackUs));
             return;
         }
-        QueryRow q = new QueryRow(++lastNumber, e.exchange(), ask);
+        QueryRow q = new QueryRow(++lastNumber, e.exchange(), ask, settings.limits().maxAttempts());
         tables.queries.put(q.number, q);
         tables.byExchange.put(q.exchange, q);
         tables.byId.put(ask.id(), q);
@@ -171,7 +180,7 @@
         }
         counters.add(Count.PARTS_TAKEN, q.parts.size());
         due(ask.deadlineUs(), DueKind.QUERY, q.number);
-        tell(new Routing.QueryArrived(q.number, q.number, ask.queryClass(), 0, q.parts.size(), ask.deadlineUs(),
+        tell(new Routing.QueryArrived(q.number, q.number, queryClass, 0, q.parts.size(), ask.deadlineUs(),
                 hintUs, ask.repeat()));
         for (PartRow part : q.parts) {
             tell(new Routing.PartArrived(part.number, q.number, part.ask.shard(), part.ask.weight(),
@@ -179,6 +188,25 @@
         }
     }
 
+    /** The place of the class of that name, or -1. */
+    private int classOf(String name) {
+        for (int i = 0; i < settings.classes().size(); i++) {
+            if (settings.classes().get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    /** All of a new configuration holds from one moment on; what is open keeps the class it was taken under. */
+    private void configTaken(Event.ConfigTaken e) {
+        counters.add(Count.CONFIGURATIONS_TAKEN);
+        settings = e.settings();
+        settings.classes().forEach(kind -> tallies.known(kind.name()));
+        tell(new Routing.Retuned(settings));
+        discoveryNamed(new Event.DiscoveryNamed(e.host(), e.port()));
+    }
+
     private void clientLeft(Event.ClientLeft e) {
         QueryRow q = tables.byExchange.get(e.exchange());
         if (q != null) {
@@ -189,7 +217,7 @@
     }
 
     private QueryClass kind(QueryRow q) {
-        return settings.classes().get(q.ask.queryClass());
+        return q.ask.kind();
     }
 
     private void reply(QueryRow q, Answer answer, Count what) {
@@ -200,7 +228,7 @@
 
     /** The one place where a request ends for its client, and so in one figure. */
     private void say(long exchange, QueryAsk ask, Answer answer) {
-        tallies.ended(settings.classes().get(ask.queryClass()).name(), answer);
+        tallies.ended(ask.kind().name(), answer);
         effects.add(new Effect.Reply(exchange, answer));
     }
 
@@ -261,7 +289,7 @@
         if (part.over || part.query.ask.deadlineUs() <= now) {
             return "its query is over";
         }
-        if (part.attempts >= settings.limits().maxAttempts()) {
+        if (part.attempts >= Math.min(settings.limits().maxAttempts(), part.query.mostAttempts)) {
             return "it had all its attempts";
         }
         if (part.out > 0 && !settings.limits().parallelTries()) {
--- a/src/main/java/dunlinhitch/core/Tables.java
+++ b/src/main/java/dunlinhitch/core/Tables.java
@@ -48,11 +48,14 @@
         final long exchange;
         final QueryAsk ask;
         final List<PartRow> parts = new ArrayList<>();
+        /** Attempts for each part by the settings that it met. */
+        final int mostAttempts;
 
-        QueryRow(int number, long exchange, QueryAsk ask) {
+        QueryRow(int number, long exchange, QueryAsk ask, int mostAttempts) {
             this.number = number;
             this.exchange = exchange;
             this.ask = ask;
+            this.mostAttempts = mostAttempts;
         }
     }
 
--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -58,33 +58,35 @@
     private static final double REPORT_STEP = 0.4; // weight of the newest: what lasts counts more
     private static final double REPORT_CAP = 200; // most that a report may say, in parts: it can lie
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
-    private final Window[] took;
-    private final double[] learned;
-    private final long[] learnedAtUs;
-    private final long[] longestTryUs;
-    private final long sweepUs;
-    private final long marginUs;
-    private final long reportAgeUs;
+    private List<Learned> classes = List.of(); // in the order of the settings
+    private long sweepUs;
+    private long marginUs;
+    private long reportAgeUs;
     private long now;
 
     public Policy(Settings settings, long seed, Actions actions) {
-        this.settings = settings;
         this.actions = actions;
         random = new SplittableRandom(seed);
-        tenantLoad = new Shares(settings.tenants().size());
-        took = new Window[settings.classes().size()];
-        learned = new double[took.length];
-        learnedAtUs = new long[took.length];
-        longestTryUs = new long[took.length];
-        long shortest = Long.MAX_VALUE;
-        for (int i = 0; i < took.length; i++) {
-            long aim = settings.classes().get(i).aimUs();
-            took[i] = new Window(WINDOW, aim * FIRST_ELAPSED);
-            shortest = Math.min(shortest, aim);
-        }
+        tune(settings);
+    }
+
+    /** Takes settings as a whole. A class of the same name keeps what was learned of it, wherever it stands;
+     * an open query keeps the class, and the number of attempts, that it came under. */
+    private void tune(Settings told) {
+        tenantLoad = settings != null && settings.tenants().equals(told.tenants()) ? tenantLoad
+                : new Shares(told.tenants().size());
+        settings = told;
+        List<Learned> before = classes;
+        classes = settings.classes().stream().map(kind -> before.stream()
+                .filter(c -> c.kind.name().equals(kind.name())).findFirst()
+                .orElseGet(() -> new Learned(kind, new Window(WINDOW, kind.aimUs() * FIRST_ELAPSED)))).toList();
+        for (int i = 0; i < classes.size(); i++) {
+            classes.get(i).kind = settings.classes().get(i);
+        }
+        long shortest = settings.classes().stream().mapToLong(QueryClass::aimUs).min().orElseThrow();
         sweepUs = Math.max(Math.max(settings.tickUs(), SWEEP_LEAST_US), shortest / SWEEPS_PER_AIM);
         marginUs = 2 * settings.tickUs();
         reportAgeUs = shortest;
@@ -107,6 +109,8 @@
             alarmRang(e);
         } else if (event instanceof ClientLeft e) {
             clientLeft(e);
+        } else if (event instanceof Retuned e) {
+            tune(e.settings());
         } else if (event instanceof Start) {
             start();
         } // a PeerMessage changes nothing: aggregators share nothing; an answer that began is still awaited
@@ -115,17 +119,17 @@
     // ---- ledger: what is out, by server, in predicted work ------------------------------
 
     /** Work of a part of the class: a low quantile of what parts took, for waiting is in the higher ones. */
-    private double typicalUs(int kind) {
-        return learned[kind] > 0 ? learned[kind] : settings.classes().get(kind).aimUs() * FIRST_WORK;
+    private double typicalUs(Learned c) {
+        return c.workUs > 0 ? c.workUs : c.kind.aimUs() * FIRST_WORK;
     }
 
     /** In a jam all parts wait: what is learned may fall at once but rise only slowly. */
-    private void learnWork(int kind) {
-        if (took[kind].seen >= WINDOW / 8) {
-            double most = learned[kind] / faded(learnedAtUs[kind], WORK_RISE * reportAgeUs);
-            double least = Math.max(1, 1.5 * took[kind].quantile(0.1));
-            learned[kind] = most > 0 ? Math.min(most, least) : least;
-            learnedAtUs[kind] = now;
+    private void learnWork(Learned c) {
+        if (c.took.seen >= WINDOW / 8) {
+            double most = c.workUs / faded(c.workAtUs, WORK_RISE * reportAgeUs);
+            double least = Math.max(1, 1.5 * c.took.quantile(0.1));
+            c.workUs = most > 0 ? Math.min(most, least) : least;
+            c.workAtUs = now;
         }
     }
 
@@ -136,16 +140,16 @@
     private final Map<Integer, Part> parts = new HashMap<>();
 
     private double workOf(Part part) {
-        return part.hintUs > 0 ? part.hintUs : typicalUs(part.query.classIndex);
+        return part.hintUs > 0 ? part.hintUs : typicalUs(part.query.learned);
     }
 
     /** The unit of work: a typical part over all classes. */
     private double unitUs() {
         double sum = 0;
-        for (int i = 0; i < took.length; i++) {
-            sum += typicalUs(i);
+        for (Learned c : classes) {
+            sum += typicalUs(c);
         }
-        return sum / took.length;
+        return sum / classes.size();
     }
 
     /** A server's entry: own ledger and reported load of others. An old report says little: with age it
@@ -347,7 +351,7 @@
         if (settings.limits().mayCancel() || q.kind.repeat() == Repeat.SINGLE_SHOT) {
             return Math.max(now + 1, q.kind.floor() < q.kind.need() ? planUs(q) : q.expiresUs);
         }
-        double late = 2 * took[q.classIndex].quantile(0.95);
+        double late = 2 * q.learned.took.quantile(0.95);
         return settings.limits().parallelTries() ? end : Math.min(end, now + (long) late);
     }
 
@@ -360,10 +364,14 @@
                     || now <= part.mayHaveRunUs + kind.dedupWindowUs() - marginUs;
             case SINGLE_SHOT -> part.mayHaveRunUs < 0;
         };
-        return allowed && part.attempts < settings.limits().maxAttempts()
+        return allowed && part.attempts < mostAttempts(part)
                 && (!copy || settings.limits().parallelTries()) && withinBudget(copy ? COPY_SHARE : 1);
     }
 
+    private int mostAttempts(Part part) {
+        return Math.min(settings.limits().maxAttempts(), part.query.mostAttempts);
+    }
+
     /** Only a stated budget needs the times, and none older than its span. */
     private void countTaken() {
         if (settings.rules().repeatRatio() >= 0) {
@@ -449,8 +457,8 @@
         switch (e.outcome()) {
             case OK -> {
                 s.heardUs = now;
-                took[a.part.query.classIndex].add(now - a.sentUs);
-                learnWork(a.part.query.classIndex);
+                a.part.query.learned.took.add(now - a.sentUs);
+                learnWork(a.part.query.learned);
                 calibrate(a);
                 s.failuresInARow /= 2;
                 double unforeseen = settings.limits().mayProbe() ? 0 // then probes tell of the slow
@@ -556,7 +564,7 @@
 
     /** When a part counts as late: beyond most of its class, or sooner when the aim comes near. */
     private double lateAfterUs(Part part) {
-        Window w = took[part.query.classIndex];
+        Window w = part.query.learned.took;
         return w.quantile(planUs(part.query) - now < 1.5 * w.quantile(0.5) ? 0.5 : 0.9);
     }
 
@@ -564,14 +572,14 @@
 
     private void queryArrived(QueryArrived e) {
         countTaken();
-        int index = Math.max(0, Math.min(e.queryClass(), took.length - 1));
-        QueryClass kind = settings.classes().get(index);
-        Query q = new Query(e, kind, index);
+        Learned c = classes.get(Math.max(0, Math.min(e.queryClass(), classes.size() - 1)));
+        QueryClass kind = c.kind;
+        Query q = new Query(e, c, settings.limits().maxAttempts());
         q.expiresUs = e.deadlineUs();
         q.takenUs = now;
-        double own = e.hintUs() > 0 ? e.hintUs() : typicalUs(index) * e.parts();
+        double own = e.hintUs() > 0 ? e.hintUs() : typicalUs(c) * e.parts();
         long aim = Math.min(kind.deadlineUs(), kind.aimUs() + (long) (kind.aimStretch() * own));
-        q.aimUs = now + aim - spentUs(index, e) - (long) lagUs;
+        q.aimUs = now + aim - spentUs(c, e) - (long) lagUs;
         queries.put(q.id, q);
         byNumber.put(q.number, q);
         alarm(q, giveUpUs(q));
@@ -581,11 +589,11 @@
     /** What a client has waited over earlier tries, where repeats are marked: one that may last less than
      * others of its class is cut by the client's own time. What was given up at its aim would come again,
      * too late to be of worth, in the place of what is not. May hurt clients of little patience. */
-    private long spentUs(int kind, QueryArrived e) {
+    private long spentUs(Learned c, QueryArrived e) {
         long tryUs = e.deadlineUs() - now;
-        longestTryUs[kind] = Math.max(longestTryUs[kind], tryUs);
-        boolean cut = e.repeat() && tryUs < TRY_CUT * longestTryUs[kind];
-        return cut ? Math.max(0, settings.classes().get(kind).deadlineUs() - tryUs) : 0;
+        c.longestTryUs = Math.max(c.longestTryUs, tryUs);
+        boolean cut = e.repeat() && tryUs < TRY_CUT * c.longestTryUs;
+        return cut ? Math.max(0, c.kind.deadlineUs() - tryUs) : 0;
     }
 
     /** The moment after which nothing is to be gained: the aim where late is worthless, else the expiry. */
@@ -602,7 +610,7 @@
     /** In time for the aim; a first answer leaves time for the second step. */
     private long aimedUs(Query q) {
         double second = q.step > 1 || q.kind.followUp() == 0 ? 0
-                : Math.min(SECOND_MOST * q.kind.aimUs(), took[q.classIndex].quantile(SECOND_QUANTILE));
+                : Math.min(SECOND_MOST * q.kind.aimUs(), q.learned.took.quantile(SECOND_QUANTILE));
         return Math.min(q.aimUs, q.expiresUs) - marginUs - (long) second;
     }
 
@@ -655,7 +663,7 @@
         double possible = 0;
         double left = giveUpUs(q) - now;
         for (Part part : q.parts) {
-            boolean sendable = part.attempts < settings.limits().maxAttempts()
+            boolean sendable = part.attempts < mostAttempts(part)
                     && (q.kind.repeat() != Repeat.SINGLE_SHOT || part.mayHaveRunUs < 0)
                     && left > HOPELESS_SHARE * workOf(part);
             boolean open = !part.settled && (sendable || !part.out.isEmpty());
@@ -716,7 +724,7 @@
     /** A client is told to come back while its aim can still be met, if it can; else as late as it heeds. */
     private long comeBackUs(Query q) {
         long most = settings.limits().maxRetryAfterUs();
-        long room = (long) (q.aimUs - now - 2 * typicalUs(q.classIndex));
+        long room = (long) (q.aimUs - now - 2 * typicalUs(q.learned));
         return room > 0 ? Math.min(most, Math.max(1, room / 4)) : most;
     }
 
@@ -737,7 +745,7 @@
     // ---- admission
 
     private double meanDensity;
-    private final Shares tenantLoad;
+    private Shares tenantLoad;
 
     /** Takes a query only if the ledger foresees its parts in time at the least loaded replicas; leaves out
      * parts that it does not where the class allows. Guards against the jam in which queries spend work,
@@ -745,7 +753,7 @@
      * refused. May hurt when reports say too much. */
     private void admit(Query q) {
         double patience = patience(q);
-        if (lagUs > 0 && now + lagUs + typicalUs(q.classIndex) >= aimedUs(q)) {
+        if (lagUs > 0 && now + lagUs + typicalUs(q.learned) >= aimedUs(q)) {
             giveUp(q);
             return;
         }
@@ -788,7 +796,7 @@
     /** The share of its time that the query may wait: more for more worth per work. */
     private double patience(Query q) {
         if (q.patience == 0) {
-            double worth = q.kind.worth() / Math.max(1, q.expected * typicalUs(q.classIndex))
+            double worth = q.kind.worth() / Math.max(1, q.expected * typicalUs(q.learned))
                     * (q.repeat ? REPEAT_WORTH : 1) / Math.max(1, overShare(q.tenant));
             meanDensity = meanDensity == 0 ? worth : meanDensity + 0.05 * (worth - meanDensity);
             q.patience = PATIENCE * (1 + 1.0 / settings.aggregators())
@@ -803,8 +811,8 @@
     private boolean leads(Query q) {
         double least = q.repeat || now - brokenAtUs < ABOUT_AIMS * reportAgeUs ? 2
                 : Math.max(LEAD_LEAST, LEAD_WIDE * servers.size());
-        double share = LEAD_WORK * typicalUs(q.classIndex) / (planUs(q) - now);
-        boolean dear = settings.layout().callOverheadUs() > LEAD_MOST * typicalUs(q.classIndex);
+        double share = LEAD_WORK * typicalUs(q.learned) / (planUs(q) - now);
+        boolean dear = settings.layout().callOverheadUs() > LEAD_MOST * typicalUs(q.learned);
         return !q.led && q.expected >= least && share < LEAD_MOST && !dear; // it takes a call of its own
     }
 
--- a/src/main/java/dunlinhitch/decide/Routing.java
+++ b/src/main/java/dunlinhitch/decide/Routing.java
@@ -137,7 +137,7 @@
 
     /** Something that happened. */
     public sealed interface Event permits Start, QueryArrived, PartArrived, AttemptStarted, AttemptEnded,
-            ProbeEnded, ServerList, AlarmRang, PeerMessage, ClientLeft {
+            ProbeEnded, ServerList, Retuned, AlarmRang, PeerMessage, ClientLeft {
     }
 
     /** The aggregator begins; the first event, once. */
@@ -170,6 +170,10 @@
     public record ServerList(ListKind kind, List<ServerEntry> servers) implements Event {
     }
 
+    /** Other settings hold from now on; queries that are open keep their class. Zones and layout are the same. */
+    public record Retuned(Settings settings) implements Event {
+    }
+
     /** An alarm set earlier is due. */
     public record AlarmRang(long token) implements Event {
     }
--- a/src/main/java/dunlinhitch/decide/State.java
+++ b/src/main/java/dunlinhitch/decide/State.java
@@ -78,6 +78,21 @@
         }
     }
 
+    /** A class and what was learned of it; its name is what it is known by, for its place may shift. */
+    static final class Learned {
+        QueryClass kind;
+        final Window took;
+        /** Work of a part, 0 before any was seen. */
+        double workUs;
+        long workAtUs;
+        long longestTryUs;
+
+        Learned(QueryClass kind, Window took) {
+            this.kind = kind;
+            this.took = took;
+        }
+    }
+
     static final class Server {
         final int id;
         int zone;
@@ -172,8 +187,10 @@
     static final class Query {
         final int id;
         final long number;
-        final int classIndex;
+        final Learned learned;
+        /** The class as it was when the query was taken. */
         final QueryClass kind;
+        final int mostAttempts;
         final int tenant;
         final List<Part> parts = new ArrayList<>();
         int expected;
@@ -194,13 +211,14 @@
         boolean over;
         final boolean repeat;
 
-        Query(QueryArrived e, QueryClass kind, int classIndex) {
+        Query(QueryArrived e, Learned learned, int mostAttempts) {
             id = e.id();
             number = e.number();
             tenant = e.tenant();
             repeat = e.repeat();
-            this.kind = kind;
-            this.classIndex = classIndex;
+            this.learned = learned;
+            this.mostAttempts = mostAttempts;
+            kind = learned.kind;
             expected = Math.max(1, e.parts());
         }
     }
--- a/src/main/java/dunlinhitch/dispatch/Reports.java
+++ b/src/main/java/dunlinhitch/dispatch/Reports.java
@@ -3,19 +3,21 @@
 import dunlinhitch.decide.Routing.ReportField;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 
 /** Load reports as stores word them, {@code name=value,name=value} or {@code -}, in the order of the settings. */
 public final class Reports {
     private static final float[] NONE = {};
-    private final List<ReportField> order;
+    private final Supplier<List<ReportField>> order;
 
-    public Reports(List<ReportField> order) {
-        this.order = List.copyOf(order);
+    public Reports(Supplier<List<ReportField>> order) {
+        this.order = order;
     }
 
     /** Empty where there is no report, or one that lacks a value or holds what is none. */
     public float[] read(String text) {
-        if (order.isEmpty() || text.isEmpty() || text.equals("-")) {
+        List<ReportField> wanted = order.get();
+        if (wanted.isEmpty() || text.isEmpty() || text.equals("-")) {
             return NONE;
         }
         List<ReportField> fields = new ArrayList<>();
@@ -29,9 +31,9 @@
                 return NONE;
             }
         }
-        float[] report = new float[order.size()];
+        float[] report = new float[wanted.size()];
         for (int i = 0; i < report.length; i++) {
-            int at = fields.indexOf(order.get(i));
+            int at = fields.indexOf(wanted.get(i));
             if (at < 0 || !Float.isFinite(values.get(at))) {
                 return NONE;
             }
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightStores.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightStores.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.apache.arrow.flight.FlightClient;
 import org.apache.arrow.memory.BufferAllocator;
 import org.apache.arrow.memory.RootAllocator;
@@ -36,7 +37,7 @@
     private static final int STACK_BYTES = 256 * 1024;
     private final Vertx vertx;
     private final Context context;
-    private final Limits limits;
+    private final Supplier<Limits> limits;
     private final Reports reports;
     private final LongSupplier clock;
     private final Consumer<Event> events;
@@ -48,7 +49,7 @@
     private final ThreadPoolExecutor callbacks = new ThreadPoolExecutor(1, 1, 10, TimeUnit.SECONDS,
             new LinkedBlockingQueue<>(), threads("flight-callback"));
 
-    public FlightStores(Vertx vertx, Context context, Limits limits, Reports reports, LongSupplier clock,
+    public FlightStores(Vertx vertx, Context context, Supplier<Limits> limits, Reports reports, LongSupplier clock,
             Consumer<Event> events) {
         this.vertx = vertx;
         this.context = context;
@@ -116,7 +117,7 @@
     }
 
     Limits limits() {
-        return limits;
+        return limits.get();
     }
 
     Reports reports() {
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
@@ -73,7 +73,7 @@
     }
 
     void connect(String host, int port) {
-        shared.client.connect(port, host).onComplete(made -> {
+        shared.connect(host, port).onComplete(made -> {
             if (made.failed()) {
                 closed();
             } else if (closed) {
@@ -116,7 +116,7 @@
             close();
         }
         int waitingParts = waiting.stream().mapToInt(List::size).sum();
-        return !closed && !leaving && !silent && out.size() + waitingParts + parts <= shared.limits.streamsPerConnection()
+        return !closed && !leaving && !silent && out.size() + waitingParts + parts <= shared.limits().streamsPerConnection()
                 && (socket == null || !socket.writeQueueFull())
                 && ids.stream().noneMatch(id -> abandoned.contains(id) || out.containsKey(id));
     }
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
@@ -10,14 +10,18 @@
 import dunlinhitch.decide.Routing.ServerState;
 import dunlinhitch.dispatch.Reports;
 import dunlinhitch.dispatch.Transport;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.net.ConnectOptions;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 /** The way to a store that speaks frames: a few connections, opened at need, each with many parts out at once. */
@@ -29,8 +33,8 @@
     /** What all frame transports of a broker share. */
     public static final class Shared {
         final Vertx vertx;
-        final NetClient client;
-        final Limits limits;
+        private final NetClient client;
+        private final Supplier<Limits> limits;
         private final int mostConnections;
         private int connections;
         final Reports reports;
@@ -38,23 +42,30 @@
         final Consumer<Event> events;
 
         /** {@code mostConnections}: to all stores together. */
-        public Shared(Vertx vertx, Limits limits, int mostConnections, Reports reports, LongSupplier clock, Consumer<Event> events) {
+        public Shared(Vertx vertx, Supplier<Limits> limits, int mostConnections, Reports reports, LongSupplier clock, Consumer<Event> events) {
             this.vertx = vertx;
             this.limits = limits;
             this.mostConnections = mostConnections;
             this.reports = reports;
             this.clock = clock;
             this.events = events;
-            NetClientOptions options = new NetClientOptions().setTcpNoDelay(true);
+            client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true));
+        }
+
+        Limits limits() {
+            return limits.get();
+        }
+
+        /** Connects by the time that the settings allow from now. */
+        Future<NetSocket> connect(String host, int port) {
+            ConnectOptions to = new ConnectOptions().setHost(host).setPort(port);
             long now = clock.getAsLong();
-            if (limits.connectTimeoutUs() > 0) {
-                options.setConnectTimeout((int) MicroClock.timerMs(now, now + limits.connectTimeoutUs()));
-            }
-            client = vertx.createNetClient(options);
+            return client.connect(limits().connectTimeoutUs() <= 0 ? to
+                    : to.setTimeout((int) MicroClock.timerMs(now, now + limits().connectTimeoutUs())));
         }
 
         long idleAfterUs() {
-            return limits.connectionIdleUs() <= 0 ? Long.MAX_VALUE / 4 : (long) (IDLE_SHARE * limits.connectionIdleUs());
+            return limits().connectionIdleUs() <= 0 ? Long.MAX_VALUE / 4 : (long) (IDLE_SHARE * limits().connectionIdleUs());
         }
     }
 
--- a/src/main/java/dunlinhitch/intake/QueryReader.java
+++ b/src/main/java/dunlinhitch/intake/QueryReader.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import java.util.regex.Pattern;
 
@@ -28,27 +29,20 @@
     private static final Pattern SECONDS = Pattern.compile("-?[0-9]{1,9}(\\.[0-9]{1,9})?");
     /** Portions are rounded. */
     private static final double PORTIONS_SLACK = 0.005;
-    private final Settings settings;
+    private final Supplier<Settings> settings;
 
-    public QueryReader(Settings settings) {
+    public QueryReader(Supplier<Settings> settings) {
         this.settings = settings;
     }
 
-    /** The place of a class in the settings, or -1 where there is none of that name. */
-    public int classOf(String name) {
-        List<QueryClass> classes = settings.classes();
-        for (int i = 0; i < classes.size(); i++) {
-            if (classes.get(i).name().equals(name)) {
-                return i;
-            }
-        }
-        return -1;
+    /** The class of that name as it is now, or null. */
+    public QueryClass classOf(String name) {
+        return settings.get().classes().stream().filter(kind -> kind.name().equals(name)).findFirst().orElse(null);
     }
 
     /** {@code header} gives a header's value or null; {@code takenUs} is when the request's last byte was read. */
-    public QueryAsk read(int queryClass, UnaryOperator<String> header, String body, long takenUs)
+    public QueryAsk read(QueryClass kind, UnaryOperator<String> header, String body, long takenUs)
             throws BadQueryException {
-        QueryClass kind = settings.classes().get(queryClass);
         String id = word(header, TRACE_ID);
         String key = kind.repeat() == Repeat.GUARDED ? word(header, IDEMPOTENCY_KEY) : "";
         String expires = header.apply(EXPIRES_IN);
@@ -65,7 +59,7 @@
             if (text == null) {
                 throw new BadQueryException("predicate is missing");
             }
-            return new QueryAsk(id, key, queryClass, takenUs + leftUs, "1".equals(header.apply(SECOND_TRY)),
+            return new QueryAsk(id, key, kind, takenUs + leftUs, "1".equals(header.apply(SECOND_TRY)),
                     parts(o.get("ranges")), text.asString());
         } catch (RuntimeException e) {
             throw new BadQueryException("the body is no query: " + e.getMessage());
@@ -77,8 +71,8 @@
             throw new BadQueryException("ranges is missing or empty");
         }
         JsonArray array = ranges.asArray();
-        int shards = settings.layout().shards();
-        if (1 + array.size() > settings.limits().mostHeld()) {
+        int shards = settings.get().layout().shards();
+        if (1 + array.size() > settings.get().limits().mostHeld()) {
             throw new BadQueryException("more ranges than may be held");
         }
         List<QueryAsk.PartAsk> parts = new ArrayList<>(array.size());
--- a/src/main/java/dunlinhitch/intake/flight/FlightFront.java
+++ b/src/main/java/dunlinhitch/intake/flight/FlightFront.java
@@ -4,6 +4,7 @@
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.QueryAsk;
+import dunlinhitch.decide.Routing.QueryClass;
 import dunlinhitch.intake.BadQueryException;
 import dunlinhitch.intake.Exchanges;
 import dunlinhitch.intake.Front;
@@ -142,14 +143,14 @@
 
         private QueryAsk read(CallHeaders headers, Ticket ticket, long takenUs) throws BadQueryException {
             String name = headers.get(CLASS);
-            int queryClass = name == null ? -1 : reader.classOf(name);
-            if (queryClass < 0) {
+            QueryClass kind = name == null ? null : reader.classOf(name);
+            if (kind == null) {
                 throw new BadQueryException(CLASS + " names no class");
             }
             if (ticket.getBytes().length > QueryReader.MOST_BYTES) {
                 throw new BadQueryException("the ticket is over 64 KiB");
             }
-            return reader.read(queryClass, headers::get, new String(ticket.getBytes(), StandardCharsets.UTF_8),
+            return reader.read(kind, headers::get, new String(ticket.getBytes(), StandardCharsets.UTF_8),
                     takenUs);
         }
     }
--- a/src/main/java/dunlinhitch/intake/http/HttpFront.java
+++ b/src/main/java/dunlinhitch/intake/http/HttpFront.java
@@ -5,6 +5,7 @@
 import dunlinhitch.core.Answer;
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Event;
+import dunlinhitch.decide.Routing.QueryClass;
 import dunlinhitch.intake.BadQueryException;
 import dunlinhitch.intake.Exchanges;
 import dunlinhitch.intake.Front;
@@ -99,14 +100,14 @@
             case "/stats" -> page(request, 200, stats.get());
             default -> {
                 int slash = path.indexOf('/', 1);
-                int queryClass = path.isEmpty() ? -1 : reader.classOf(path.substring(1, slash < 0 ? path.length() : slash));
-                if (queryClass < 0) {
+                QueryClass kind = path.isEmpty() ? null : reader.classOf(path.substring(1, slash < 0 ? path.length() : slash));
+                if (kind == null) {
                     bad(request, 404, "no such class");
                 } else if (request.method() != HttpMethod.POST) {
                     request.response().putHeader(HttpHeaders.ALLOW, "POST");
                     bad(request, 405, "a query is a POST");
                 } else {
-                    readBody(request, queryClass);
+                    readBody(request, kind);
                 }
             }
         }
@@ -129,7 +130,7 @@
     }
 
     /** Takes a body of 64 KiB at most, whether it states its length or not; more is never kept. */
-    private void readBody(HttpServerRequest request, int queryClass) {
+    private void readBody(HttpServerRequest request, QueryClass kind) {
         Buffer body = Buffer.buffer();
         boolean[] over = {false};
         Runnable tooLarge = () -> {
@@ -151,16 +152,16 @@
         request.exceptionHandler(e -> over[0] = true); // the client left within its request: nothing was taken
         request.endHandler(v -> {
             if (!over[0]) {
-                taken(request, queryClass, body);
+                taken(request, kind, body);
             }
         });
     }
 
-    private void taken(HttpServerRequest request, int queryClass, Buffer body) {
+    private void taken(HttpServerRequest request, QueryClass kind, Buffer body) {
         long takenUs = clock.getAsLong();
         links.taken(request.connection());
         try {
-            long exchange = exchanges.open(reader.read(queryClass, request::getHeader, body.toString(), takenUs),
+            long exchange = exchanges.open(reader.read(kind, request::getHeader, body.toString(), takenUs),
                     answer -> write(request, answer));
             request.response().closeHandler(v -> exchanges.left(exchange));
         } catch (BadQueryException e) {
--- a/src/test/java/dunlinhitch/LoopTest.java
+++ b/src/test/java/dunlinhitch/LoopTest.java
@@ -29,7 +29,7 @@
         BlockingQueue<Throwable> faults = new LinkedBlockingQueue<>();
         context.runOnContext(v -> {
             Reducer reducer = new Reducer(Stage.settings(1), 1, clock.getAsLong());
-            Loop loop = new Loop(vertx, context, reducer, clock, 5_000, faults::add);
+            Loop loop = new Loop(vertx, context, reducer, clock, () -> 5_000, faults::add);
             loop.edges(effect -> {
                 if (effect instanceof Effect.Reply reply) {
                     replies.add(reply.exchange());
@@ -37,7 +37,7 @@
                 }
             });
             for (long exchange = 1; exchange <= 2; exchange++) {
-                loop.accept(new Event.QueryTaken(exchange, new QueryAsk("q" + exchange, "", 0,
+                loop.accept(new Event.QueryTaken(exchange, new QueryAsk("q" + exchange, "", Stage.settings(100).classes().get(0),
                         clock.getAsLong() + 1_000_000, false, List.of(new QueryAsk.PartAsk(0, 1, 0)), "x")));
             }
             loop.accept(new Event.Noted(Count.FAULTS));
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -5,9 +5,13 @@
 
 import dunlinhitch.core.Effect.SendCall;
 import dunlinhitch.core.QueryAsk.PartAsk;
+import dunlinhitch.decide.Routing.Limits;
 import dunlinhitch.decide.Routing.ListKind;
 import dunlinhitch.decide.Routing.Outcome;
+import dunlinhitch.decide.Routing.QueryClass;
+import dunlinhitch.decide.Routing.Repeat;
 import dunlinhitch.decide.Routing.ServerState;
+import dunlinhitch.decide.Routing.Settings;
 import dunlinhitch.standin.Stage;
 import java.util.ArrayList;
 import java.util.List;
@@ -43,7 +47,7 @@
     private Event query(long exchange, int queryClass, int parts) {
         List<PartAsk> asks = IntStream.range(0, parts).mapToObj(i -> new PartAsk(i, 1.0 / parts, 0)).toList();
         return new Event.QueryTaken(exchange,
-                new QueryAsk("q" + exchange, "", queryClass, now + 900_000, false, asks, "x"));
+                new QueryAsk("q" + exchange, "", reducer.settings().classes().get(queryClass), now + 900_000, false, asks, "x"));
     }
 
     private <T extends Effect> List<T> of(Class<T> kind) {
@@ -122,7 +126,71 @@
         assertEquals(6, of(SendCall.class).stream().mapToInt(c -> c.parts().size()).sum());
     }
 
-    /** A configuration that is read again moves discovery only where it names another address. */
+    /** The same settings with other classes and another number of attempts. */
+    private static Settings with(List<QueryClass> classes, int attempts) {
+        Settings s = Stage.settings(40);
+        Limits l = s.limits();
+        return new Settings(s.aggregators(), s.zones(), s.zone(), s.tickUs(), classes, s.tenants(), s.overShareWorth(),
+                s.layout(), new Limits(attempts, l.mostHeld(), l.mayCancel(), l.mayProbe(), l.parallelTries(),
+                        l.retryAfter(), l.maxRetryAfterUs(), l.connectTimeoutUs(), l.streamsPerConnection(),
+                        l.connectionIdleUs()), s.rules(), s.prices(), s.mustAskForList(), s.reportsInAnswers(),
+                s.reportsInProbes(), s.reportFields(), s.marksRepeats());
+    }
+
+    /**
+     * The class in front of it is dropped and its name stands for other rules: an open query is still answered in part,
+     * as its class allowed when it came, and a new one is not. Guards against places in a list that has shifted.
+     */
+    @Test
+    void anOpenQueryKeepsTheClassThatItCameUnder() {
+        stores();
+        QueryClass free = reducer.settings().classes().get(0);
+        turn(query(1, 0, 10));
+        QueryClass strict = new QueryClass(free.name(), free.aimUs(), 0, free.deadlineUs(), Repeat.SINGLE_SHOT, 0.1, 0, 3,
+                false, 0, 1, 1, 0.9);
+        QueryClass added = new QueryClass("hall-search", free.aimUs(), 0, free.deadlineUs(), Repeat.FREE, 0.1, 0, 3, false,
+                0, 0.7, 1, 0.9);
+        turn(new Event.ConfigTaken(with(List.of(added, strict), 2), "127.0.0.1", 9));
+        assertEquals(new Effect.FollowDiscovery("127.0.0.1", 9), of(Effect.FollowDiscovery.class).get(0));
+        turn(query(2, 1, 10));
+        assertEquals("free-search", reducer.settings().classes().get(1).name());
+        of(SendCall.class).stream().flatMap(call -> call.parts().stream()).filter(p -> p.shard() < 8)
+                .forEach(p -> turn(new Event.AttemptOver(p.attempt(), Outcome.OK, new float[0], "v")));
+        run(SECOND);
+        assertTrue(answer(1) instanceof Answer.Served s && !s.whole() && s.parts().size() == 8, "answer: " + answer(1));
+        assertTrue(answer(2) instanceof Answer.OutOfTime || answer(2) instanceof Answer.Failed, "answer: " + answer(2));
+        assertEquals(List.of("free-search", "slot-booking", "hall-search"),
+                reducer.figures().classes().stream().map(Figures.OfClass::name).toList());
+        assertEquals(1, reducer.figures().loads());
+        assertEquals(0, reducer.counters().get(Count.FAULTS));
+    }
+
+    /** Fewer attempts bind what is open as well as what is new. */
+    @Test
+    void attemptsAreTheFewestOfTheSettingsThatAQueryMet() {
+        stores();
+        turn(query(1, 0, 1));
+        turn(new Event.ConfigTaken(with(reducer.settings().classes(), 1), "127.0.0.1", 9));
+        turn(Event.AttemptOver.of(of(SendCall.class).get(0).parts().get(0).attempt(), Outcome.FULL));
+        run(SECOND);
+        assertEquals(1, of(SendCall.class).size());
+        turn(query(2, 0, 1));
+        turn(new Event.ConfigTaken(with(reducer.settings().classes(), 4), "127.0.0.1", 9));
+        turn(Event.AttemptOver.of(of(SendCall.class).get(1).parts().get(0).attempt(), Outcome.FULL));
+        run(SECOND);
+        assertEquals(2, of(SendCall.class).size());
+    }
+
+    /** What was read under a class that is dropped before it is taken is refused: nothing of it ran. */
+    @Test
+    void aQueryOfAClassThatIsGoneIsRefused() {
+        stores();
+        Event crossing = query(1, 1, 1);
+        turn(new Event.ConfigTaken(with(reducer.settings().classes().subList(0, 1), 4), "127.0.0.1", 9), crossing);
+        assertTrue(answer(1) instanceof Answer.Refused, "answer: " + answer(1));
+    }
+
+    /** The start names discovery; a configuration that is read again moves it only where it names another address. */
     @Test
     void discoveryIsFollowedToANewAddressOnly() {
         turn(new Event.DiscoveryNamed("127.0.0.1", 1), new Event.DiscoveryNamed("127.0.0.1", 1));
--- a/src/test/java/dunlinhitch/dispatch/flight/FlightTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/flight/FlightTransportTest.java
@@ -32,8 +32,8 @@
     private final MicroClock real = new MicroClock();
     private volatile long aheadUs;
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
-    private final FlightStores stores = new FlightStores(vertx, context, Stage.settings(100).limits(),
-            new Reports(Stage.settings(100).reportFields()), () -> real.getAsLong() + aheadUs, events::add);
+    private final FlightStores stores = new FlightStores(vertx, context, () -> Stage.settings(100).limits(),
+            new Reports(() -> Stage.settings(100).reportFields()), () -> real.getAsLong() + aheadUs, events::add);
     private FlightStore store;
 
     @BeforeEach
