--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -82,7 +82,7 @@
         List<Learned> before = classes;
         classes = settings.classes().stream().map(kind -> before.stream()
                 .filter(c -> c.kind.name().equals(kind.name())).findFirst()
-                .orElseGet(() -> new Learned(kind, new Window(WINDOW, kind.aimUs() * FIRST_ELAPSED)))).toList();
+                .orElseGet(() -> learnedNothing(kind))).toList();
         for (int i = 0; i < classes.size(); i++) {
             classes.get(i).kind = settings.classes().get(i);
         }
@@ -92,6 +92,10 @@
         reportAgeUs = shortest;
     }
 
+    private static Learned learnedNothing(QueryClass kind) {
+        return new Learned(kind, new Window(WINDOW, kind.aimUs() * FIRST_ELAPSED));
+    }
+
     /** Takes one event; actions are called before this returns. */
     public void on(long nowUs, Event event) {
         now = Math.max(now, nowUs);
