Upgrade under load: accepts from the platform's socket, the old process leaves the new to it

Ruled out: descriptors 0 to 2 closing under the log (the channel is never closed: the counters of the old process are in its log).

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -17,6 +17,7 @@
 import dunlinhitch.intake.Front;
 import dunlinhitch.intake.QueryReader;
 import dunlinhitch.intake.flight.FlightFront;
+import dunlinhitch.intake.http.HandedListener;
 import dunlinhitch.intake.http.HttpFront;
 import dunlinhitch.roster.RosterReader;
 import dunlinhitch.roster.Source;
@@ -47,8 +48,11 @@
     private static final int CLIENTS_PART = 2;
     /** Connections to stores; the last quarter is the program's own. */
     private static final int STORES_PART = 4;
+    /** From its first second on a new process has the old one beside it for so long. */
+    private static final long OVERLAP_US = 6_000_000;
     private final Vertx vertx;
     private final Config config;
+    private final HandedListener handed;
     private final Consumer<String> log;
     private final MicroClock clock = new MicroClock();
     private final long startUs = clock.getAsLong();
@@ -70,20 +74,26 @@
 
     /** Must be made on the event loop that is to run it. */
     public Broker(Vertx vertx, Context context, Config config, Consumer<String> log) {
+        this(vertx, context, config, log, null);
+    }
+
+    /** The same; clients are accepted from {@code handed}, a socket that another process may accept from too. */
+    public Broker(Vertx vertx, Context context, Config config, Consumer<String> log, HandedListener handed) {
         this.vertx = vertx;
         this.config = config;
+        this.handed = handed;
         this.log = log;
         reducer = new Reducer(config.settings(), config.seed(), startUs);
         loop = new Loop(vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(reducer::settings);
-        http = new HttpFront(vertx, exchanges, queries, loop, clock, config.sockets() / CLIENTS_PART, this::ready,
-                () -> reducer.counters().lines());
+        http = new HttpFront(vertx, exchanges, queries, loop, clock, () -> mostSockets() / CLIENTS_PART, this::ready,
+                () -> reducer.counters().lines(), handed);
         admin = config.admin() == null ? null
                 : new AdminFront(vertx, this::ready, reducer::figures, loop, clock);
         Reports reports = new Reports(() -> reducer.settings().reportFields());
         FrameTransport.Shared frames =
-                new FrameTransport.Shared(vertx, () -> reducer.settings().limits(), config.sockets() / STORES_PART, reports,
+                new FrameTransport.Shared(vertx, () -> reducer.settings().limits(), () -> mostSockets() / STORES_PART, reports,
                         clock, loop);
         // no class of Arrow is loaded unless this front is on or a store speaks Flight
         flight = config.fronts().flight() == null ? null
@@ -102,6 +112,11 @@
         loop.accept(new Event.DiscoveryNamed(config.discovery().host(), config.discovery().port()));
     }
 
+    /** Descriptors are counted over all processes of a broker. */
+    private int mostSockets() {
+        return reducer.siblingServes() ? config.sockets() / 2 : config.sockets();
+    }
+
     private Transport open(Context context, FrameTransport.Shared frames, Reports reports, StoreEntry entry) {
         if (entry.wire() == StoreEntry.StoreWire.FRAMES) {
             return new FrameTransport(frames, entry);
@@ -122,6 +137,9 @@
     public Future<Integer> start() {
         vertx.exceptionHandler(this::fault);
         roster.start();
+        if (handed != null) {
+            loop.accept(new Event.SiblingServes(clock.getAsLong() + OVERLAP_US));
+        }
         return http.listen(config.listen().host(), config.listen().port())
                 .onSuccess(bound -> port = bound)
                 .compose(v -> flight == null ? Future.succeededFuture()
@@ -151,7 +169,7 @@
     /**
      * Ends the broker. Until half of the longest deadline before its time it serves all who are connected as ever: the
      * others may be restarting too, and the next process is started no sooner if this one leaves early. Then each
-     * answer closes its connection, and it is over when all that was taken is answered.
+     * answer closes its connection (where a sibling accepts from the same socket, from the start), and it is over when all that was taken is answered.
      */
     public Future<Void> stop() {
         ending = true;
@@ -159,6 +177,10 @@
         long longestUs = Math.min(LONGEST_US, reducer.settings().classes().stream()
                 .mapToLong(kind -> kind.deadlineUs()).max().orElseThrow());
         loop.accept(new Event.EndNamed(now + GRACE_US + longestUs - ROOM_US));
+        if (handed != null) {
+            loop.accept(new Event.SiblingServes(Long.MAX_VALUE));
+            http.leaveToSibling();
+        }
         long drainUs = now + GRACE_US + longestUs / 2;
         vertx.setTimer(MicroClock.timerMs(now, drainUs), t -> http.drain());
         vertx.setTimer(MicroClock.timerMs(now, drainUs + CROSSING_US), t -> loop.accept(new Event.StopAsked()));
--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -3,12 +3,16 @@
 import dunlinhitch.config.Config;
 import dunlinhitch.config.ConfigFile;
 import dunlinhitch.config.SettingsReader;
+import dunlinhitch.intake.http.HandedListener;
 import dunlinhitch.wire.WireHost;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.transport.Transport;
+import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +30,8 @@
 
     private static final String FRONTS = "deploy/fronts.json";
     private static final int REHEARSAL_S = 20;
+    /** A new process beside an old one is waited for 6 s at the longest. */
+    private static final long READY_BY_MS = 4_500;
     private static final int QUERIES_TO_LOAD = 20;
     private static final int QUERIES_TO_COMPILE = 300;
     private static final String REHEARSAL = """
@@ -39,10 +45,10 @@
     private Main() {
     }
 
-    private static Vertx oneLoop() {
-        return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+    private static Vertx oneLoop(Transport transport) {
+        return Vertx.builder().withTransport(transport).with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
-                        .setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
+                        .setClassPathResolvingEnabled(false).setFileCachingEnabled(false))).build();
     }
 
     public static void main(String[] arguments) {
@@ -109,21 +115,22 @@
         public Integer call() throws InterruptedException {
             ConfigFile file = told.config();
             Config config = file.read();
-            Vertx vertx = oneLoop();
+            HandedListener handed = handed();
+            Vertx vertx = oneLoop(handed == null ? Transport.NIO : handed);
             Context context = vertx.getOrCreateContext();
             CountDownLatch started = new CountDownLatch(1);
             Throwable[] fault = {null};
             Broker[] broker = {null};
             context.runOnContext(v -> {
                 try {
-                    broker[0] = new Broker(vertx, context, config, System.out::println);
+                    broker[0] = new Broker(vertx, context, config, System.out::println, handed);
                 } catch (RuntimeException | LinkageError e) {
                     fault[0] = e;
                     started.countDown();
                     return;
                 }
                 broker[0].openDesk().compose(desk -> new Rehearsal(vertx, context, config.settings(),
-                        config.listen().host(), QUERIES_TO_COMPILE).run()).compose(rehearsed -> broker[0].start())
+                        config.listen().host(), QUERIES_TO_COMPILE, rehearsalEndUs()).run()).compose(rehearsed -> broker[0].start())
                         .onComplete(bound -> {
                             fault[0] = bound.cause();
                             System.out.println(config.name() + " listens on " + config.listen().host() + ":"
@@ -146,6 +153,27 @@
             return 0;
         }
 
+        /** The clients' listening socket where the platform holds it, else null: then the broker makes its own. */
+        private static HandedListener handed() {
+            String descriptor = System.getenv("ROUTER_ACCEPT_FD");
+            if (descriptor == null || descriptor.isEmpty()) {
+                return null;
+            }
+            if (!descriptor.equals("0")) {
+                throw new Config.ConfigException("ROUTER_ACCEPT_FD is not 0: " + descriptor);
+            }
+            try {
+                return HandedListener.inherited();
+            } catch (IOException e) {
+                throw new Config.ConfigException("ROUTER_ACCEPT_FD: " + e.getMessage());
+            }
+        }
+
+        private static long rehearsalEndUs() {
+            Instant began = ProcessHandle.current().info().startInstant().orElseGet(Instant::now);
+            return (began.toEpochMilli() + READY_BY_MS) * 1000;
+        }
+
         /** Holds the end of the process until all that was taken is answered. */
         private static void finish(Context context, Broker broker) {
             CountDownLatch ended = new CountDownLatch(1);
@@ -194,12 +222,12 @@
     static final class Rehearse implements Callable<Integer> {
         @Override
         public Integer call() throws InterruptedException {
-            Vertx vertx = oneLoop();
+            Vertx vertx = oneLoop(Transport.NIO);
             Context context = vertx.getOrCreateContext();
             CountDownLatch ended = new CountDownLatch(1);
             boolean[] served = {false};
             context.runOnContext(v -> new Rehearsal(vertx, context, SettingsReader.read(REHEARSAL), "127.0.0.1",
-                    QUERIES_TO_LOAD).run().onComplete(answer -> {
+                    QUERIES_TO_LOAD, Long.MAX_VALUE).run().onComplete(answer -> {
                         served[0] = answer.succeeded() && answer.result() >= QUERIES_TO_LOAD;
                         ended.countDown();
                     }));
--- a/src/main/java/dunlinhitch/Rehearsal.java
+++ b/src/main/java/dunlinhitch/Rehearsal.java
@@ -29,6 +29,7 @@
     private static final int MOST_PARTS = 6;
     /** Clients wait meanwhile. */
     private static final long LONGEST_US = 3_000_000;
+    private static final long LEAST_US = 500_000;
     /** The text of a part ends a line, so that a call is a line for each part and an empty one behind it. */
     private static final String TEXT = "\n";
     private final Vertx vertx;
@@ -37,18 +38,20 @@
     private final String host;
     private final String body;
     private final MicroClock clock = new MicroClock();
-    private final long dueUs = clock.getAsLong() + LONGEST_US;
+    private final long dueUs;
     private final int toServe;
     private int asked;
     private int served;
 
-    /** {@code host}: where it listens, on ports of its own and for its time only. */
-    Rehearsal(Vertx vertx, Context context, Routing.Settings settings, String host, int queries) {
+    /** {@code host}: where it listens, on ports of its own and for its time only; {@code endUs}: when, by the system's clock, it is better cut short. */
+    Rehearsal(Vertx vertx, Context context, Routing.Settings settings, String host, int queries, long endUs) {
         this.vertx = vertx;
         this.context = context;
         this.settings = settings;
         this.host = host;
         toServe = queries;
+        long now = clock.getAsLong();
+        dueUs = Math.max(now + LEAST_US, Math.min(now + LONGEST_US, endUs));
         body = body(settings.layout().shards());
     }
 
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -48,6 +48,10 @@
     record ConfigTaken(Settings settings, String host, int port) implements Event {
     }
 
+    /** Another process of this broker serves beside this one, until then at the latest. */
+    record SiblingServes(long untilUs) implements Event {
+    }
+
     /** The process is to end: whatever is taken from now on has its answer by then. */
     record EndNamed(long dueUs) implements Event {
     }
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -34,7 +34,7 @@
     private record Due(long atUs, long order, DueKind kind, long id) {
     }
 
-    private enum DueKind { ALARM, ATTEMPT, PROBE, QUERY }
+    private enum DueKind { ALARM, ATTEMPT, PROBE, QUERY, ALONE }
 
     private Settings settings;
     private final Policy policy;
@@ -53,6 +53,7 @@
     private long lastProbe;
     private int lastStore;
     private Event.DiscoveryNamed discovery;
+    private long siblingUs;
     private long endUs = Long.MAX_VALUE;
     private boolean stopping;
     private boolean finished;
@@ -74,6 +75,11 @@
         return settings;
     }
 
+    /** True while another process of this broker serves too: limits hold for both together. */
+    public boolean siblingServes() {
+        return now < siblingUs;
+    }
+
     /** What operators are told. */
     public Figures figures() {
         List<StoreRow> listed = tables.stores.values().stream().filter(row -> row.state() != ServerState.GONE).toList();
@@ -133,6 +139,10 @@
             discoveryNamed(e);
         } else if (event instanceof Event.ConfigTaken e) {
             configTaken(e);
+        } else if (event instanceof Event.SiblingServes e) {
+            siblingUs = e.untilUs();
+            share(siblingUs);
+            due(siblingUs, DueKind.ALONE, siblingUs);
         } else if (event instanceof Event.EndNamed e) {
             endUs = e.dueUs();
         } else if (event instanceof Event.StopAsked) {
@@ -203,10 +213,17 @@
         counters.add(Count.CONFIGURATIONS_TAKEN);
         settings = e.settings();
         settings.classes().forEach(kind -> tallies.known(kind.name()));
-        tell(new Routing.Retuned(settings));
+        share(siblingUs);
         discoveryNamed(new Event.DiscoveryNamed(e.host(), e.port()));
     }
 
+    /** What all brokers may do together is shared by one more while two processes are this one. */
+    private void share(long untilUs) {
+        if (untilUs == siblingUs) {
+            tell(new Routing.Retuned(siblingServes() ? settings.amongAggregators(2 * settings.aggregators()) : settings));
+        }
+    }
+
     private void clientLeft(Event.ClientLeft e) {
         QueryRow q = tables.byExchange.get(e.exchange());
         if (q != null) {
@@ -342,6 +359,7 @@
                 case ALARM -> tell(new Routing.AlarmRang(due.id()));
                 case ATTEMPT -> attemptDue(tables.attempts.get(due.id()));
                 case PROBE -> probeOver(due.id(), Outcome.TIMEOUT, new float[0]);
+                case ALONE -> share(due.id());
                 case QUERY -> queryDue(tables.queries.get((int) due.id()));
             }
         }
--- a/src/main/java/dunlinhitch/decide/Routing.java
+++ b/src/main/java/dunlinhitch/decide/Routing.java
@@ -129,6 +129,12 @@
             tenants = List.copyOf(tenants);
             reportFields = List.copyOf(reportFields);
         }
+
+        /** The same among so many that share what all may do together. */
+        public Settings amongAggregators(int many) {
+            return new Settings(many, zones, zone, tickUs, classes, tenants, overShareWorth, layout, limits, rules, prices,
+                    mustAskForList, reportsInAnswers, reportsInProbes, reportFields, marksRepeats);
+        }
     }
 
     /** One line of the server list; {@code startedUs} 0: a long time ago. */
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -35,14 +36,14 @@
         final Vertx vertx;
         private final NetClient client;
         private final Supplier<Limits> limits;
-        private final int mostConnections;
+        private final IntSupplier mostConnections;
         private int connections;
         final Reports reports;
         final LongSupplier clock;
         final Consumer<Event> events;
 
         /** {@code mostConnections}: to all stores together. */
-        public Shared(Vertx vertx, Supplier<Limits> limits, int mostConnections, Reports reports, LongSupplier clock, Consumer<Event> events) {
+        public Shared(Vertx vertx, Supplier<Limits> limits, IntSupplier mostConnections, Reports reports, LongSupplier clock, Consumer<Event> events) {
             this.vertx = vertx;
             this.limits = limits;
             this.mostConnections = mostConnections;
@@ -131,7 +132,7 @@
 
     private boolean mayOpen() {
         return state == ServerState.READY && connections.size() < MOST_CONNECTIONS
-                && shared.connections < shared.mostConnections;
+                && shared.connections < shared.mostConnections.getAsInt();
     }
 
     private FrameConnection open() {
--- a/src/main/java/dunlinhitch/intake/http/HttpFront.java
+++ b/src/main/java/dunlinhitch/intake/http/HttpFront.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -40,12 +41,15 @@
     private final Supplier<String> stats;
     private final HttpServer server;
     private final Links links;
+    /** Where it accepts if the listening socket is shared with another process, else null. */
+    private final HandedListener handed;
     private long lookAfter;
     private boolean draining;
 
     /** {@code mostLinks}: connections that clients may hold at once. */
     public HttpFront(Vertx vertx, Exchanges exchanges, QueryReader reader, Consumer<Event> events,
-            LongSupplier clock, int mostLinks, BooleanSupplier ready, Supplier<String> stats) {
+            LongSupplier clock, IntSupplier mostLinks, BooleanSupplier ready, Supplier<String> stats,
+            HandedListener handed) {
         this.vertx = vertx;
         this.exchanges = exchanges;
         this.reader = reader;
@@ -53,6 +57,7 @@
         this.clock = clock;
         this.ready = ready;
         this.stats = stats;
+        this.handed = handed;
         links = new Links(mostLinks, clock, events);
         HttpServerOptions options = new HttpServerOptions().setHttp2ClearTextEnabled(false).setAcceptBacklog(1024)
                 .setHandle100ContinueAutomatically(true).setPerFrameWebSocketCompressionSupported(false)
@@ -72,7 +77,17 @@
     @Override
     public Future<Integer> listen(String host, int port) {
         lookAfter = vertx.setPeriodic(LOOK_AFTER_MS, t -> links.closeOverdue());
-        return server.listen(port, host).map(HttpServer::actualPort);
+        return (handed == null ? server.listen(port, host) : handed.lend(() -> server.listen(port, host)))
+                .map(HttpServer::actualPort);
+    }
+
+    /**
+     * The process is to end and another one accepts from the same socket: what is new is left to that one from now on,
+     * and each connection ends by its next answer. Those that stand idle may still be asked on; {@link #drain} ends them.
+     */
+    public void leaveToSibling() {
+        draining = true;
+        handed.stopAccepting();
     }
 
     /**
--- a/src/main/java/dunlinhitch/intake/http/Links.java
+++ b/src/main/java/dunlinhitch/intake/http/Links.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -36,11 +37,11 @@
 
     /** In the order in which they were made. */
     private final Map<HttpConnection, Link> links = new LinkedHashMap<>();
-    private final int most;
+    private final IntSupplier most;
     private final LongSupplier clock;
     private final Consumer<Event> events;
 
-    Links(int most, LongSupplier clock, Consumer<Event> events) {
+    Links(IntSupplier most, LongSupplier clock, Consumer<Event> events) {
         this.most = most;
         this.clock = clock;
         this.events = events;
@@ -48,7 +49,7 @@
 
     /** A new connection; beyond what may be held one that has no query open makes room for it, or it goes itself. */
     void made(HttpConnection connection) {
-        if (links.size() >= most) {
+        if (links.size() >= most.getAsInt()) {
             HttpConnection out = least();
             close(out == null ? connection : out, Count.CLIENTS_CROWDED_OUT);
             if (out == null) {
@@ -110,7 +111,7 @@
             case SILENT -> link.madeUs + WHOLE_AFTER_US;
             case READING -> (link.first ? link.madeUs : link.sinceUs) + WHOLE_AFTER_US;
             case OPEN -> Long.MAX_VALUE;
-            case IDLE -> link.sinceUs + (4 * links.size() > most ? IDLE_WHEN_MANY_US : IDLE_US);
+            case IDLE -> link.sinceUs + (4 * links.size() > most.getAsInt() ? IDLE_WHEN_MANY_US : IDLE_US);
         };
     }
 
--- a/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
@@ -53,7 +53,7 @@
     }
 
     private FrameTransport to(int port) {
-        FrameTransport.Shared shared = new FrameTransport.Shared(vertx, () -> Stage.settings(100).limits(), 3,
+        FrameTransport.Shared shared = new FrameTransport.Shared(vertx, () -> Stage.settings(100).limits(), () -> 3,
                 new Reports(() -> Stage.settings(100).reportFields()), clock, event -> {
                     if (event instanceof Event.AttemptOver over) {
                         ends.add(over);
--- a/src/test/java/dunlinhitch/standin/Stage.java
+++ b/src/test/java/dunlinhitch/standin/Stage.java
@@ -7,25 +7,37 @@
 import dunlinhitch.decide.Routing;
 import dunlinhitch.decide.Routing.Repeat;
 import dunlinhitch.decide.Routing.ReportField;
+import dunlinhitch.intake.http.HandedListener;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.transport.Transport;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /** A broker among stand-ins on loopback: two cells, each shard on both; both fronts on. */
 public final class Stage {
-    public final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
-    public final Discovery discovery = new Discovery(vertx);
+    public final Vertx vertx;
+    public final Discovery discovery;
+    private final HandedListener handed;
     public Broker broker;
     public int httpPort;
     public volatile int adminPort;
     /** Descriptors that the broker may hold. */
     public int sockets = Config.SOCKETS;
 
+    /** The peers share the broker's loop: a broker that blocked it would get no answer at all. */
     public Stage() throws Exception {
-        // the peers share the broker's loop: a broker that blocked it would get no answer at all
+        this(null);
+    }
+
+    /** The broker accepts from that socket. */
+    public Stage(HandedListener handed) throws Exception {
+        this.handed = handed;
+        vertx = Vertx.builder().withTransport(handed == null ? Transport.NIO : handed)
+                .with(new VertxOptions().setEventLoopPoolSize(1)).build();
+        discovery = new Discovery(vertx);
     }
 
     /** As the deployment's, with shorter times: aim 0.7 s, deadlines 1.1 s; {@code held} bounds what is open. */
@@ -51,7 +63,7 @@
         CompletableFuture<Integer> port = new CompletableFuture<>();
         context.runOnContext(v -> {
             try {
-                broker = new Broker(vertx, context, config, line -> { });
+                broker = new Broker(vertx, context, config, line -> { }, handed);
                 broker.openDesk().onSuccess(desk -> adminPort = desk).compose(desk -> broker.start()).onSuccess(port::complete).onFailure(port::completeExceptionally);
             } catch (RuntimeException | Error e) {
                 port.completeExceptionally(e);
