Calendar stores out and back by hand: a ban in the module, kept in the shared folder

Seen: no call was answered. Both wires in AdminTest, two processes on one folder, the list's word in ReducerTest.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -1,6 +1,7 @@
 package dunlinhitch;
 
 import dunlinhitch.admin.AdminFront;
+import dunlinhitch.admin.BanFolder;
 import dunlinhitch.config.Config;
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Effect;
@@ -44,6 +45,8 @@
     private static final long CROSSING_US = 150_000;
     /** A list from before the start will do if discovery says nothing for so long. */
     private static final long KNOWN_WILL_DO_US = 1_000_000;
+    /** Where the ids of stores that are out by hand are kept, in the shared folder. */
+    private static final String BANS = "stores-out";
     /** Of the descriptors: clients with queries hold a third at most, and others are let in until it is half. */
     private static final int CLIENTS_PART = 2;
     /** Connections to stores; the last quarter is the program's own. */
@@ -62,6 +65,7 @@
     private final Exchanges exchanges;
     private final HttpFront http;
     private final AdminFront admin;
+    private final BanFolder bans;
     private final Stores stores;
     private final Source roster;
     private final Front flight;
@@ -91,6 +95,8 @@
                 () -> reducer.counters().lines(), handed);
         admin = config.admin() == null ? null
                 : new AdminFront(vertx, this::ready, reducer::figures, loop, clock);
+        bans = new BanFolder(vertx, config.scratch() == null ? null : config.scratch().resolve(BANS),
+                (out, back) -> loop.accept(new Event.BarsSeen(out, back)));
         Reports reports = new Reports(() -> reducer.settings().reportFields());
         FrameTransport.Shared frames =
                 new FrameTransport.Shared(vertx, () -> reducer.settings().limits(), () -> mostSockets() / STORES_PART, reports,
@@ -140,7 +146,7 @@
         if (handed != null) {
             loop.accept(new Event.SiblingServes(clock.getAsLong() + OVERLAP_US));
         }
-        return http.listen(config.listen().host(), config.listen().port())
+        return bans.start(handed != null).compose(v -> http.listen(config.listen().host(), config.listen().port()))
                 .onSuccess(bound -> port = bound)
                 .compose(v -> flight == null ? Future.succeededFuture()
                         : flight.listen(config.fronts().flight().host(), config.fronts().flight().port())
@@ -229,7 +235,12 @@
         } else if (effect instanceof Effect.Release e) {
             stores.release(e.store());
         } else if (effect instanceof Effect.StoreChanged e) {
-            stores.changed(e.store(), e.entry());
+            stores.changed(e.store(), e.entry(), e.barred());
+        } else if (effect instanceof Effect.KeepBar e) {
+            bans.keep(e.store(), e.out()).onSuccess(v -> admin.reply(e.call(), 200, e.out() ? "out" : "may serve"))
+                    .onFailure(why -> admin.reply(e.call(), 500, "it could not be kept: " + why.getMessage()));
+        } else if (effect instanceof Effect.UnknownStore e) {
+            admin.reply(e.call(), 404, "no such calendar store");
         } else if (effect instanceof Effect.Resync) {
             roster.resync();
         } else if (effect instanceof Effect.FollowDiscovery e) {
--- a/src/main/java/dunlinhitch/Rehearsal.java
+++ b/src/main/java/dunlinhitch/Rehearsal.java
@@ -73,7 +73,7 @@
                     Address any = new Address(host, 0);
                     Broker broker = new Broker(vertx, context, new Config("rehearsal", any, null,
                             new Address(host, bound.actualPort()), 1, Json.object(), Config.SOCKETS, settings,
-                            Config.Fronts.NONE), line -> { });
+                            Config.Fronts.NONE, null), line -> { });
                     return broker.start().compose(port -> {
                         List<Future<Void>> asked = new ArrayList<>();
                         for (int i = 0; i < CLIENTS; i++) {
--- a/src/main/java/dunlinhitch/admin/AdminFront.java
+++ b/src/main/java/dunlinhitch/admin/AdminFront.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -32,6 +33,9 @@
     private final Consumer<Event> events;
     private final LongSupplier clock;
     private final HttpServer server;
+    /** Calls that wait for their word. */
+    private final Map<Long, HttpServerRequest> open = new HashMap<>();
+    private long lastCall;
     /** Who is connected since when, the oldest first. */
     private final Map<HttpConnection, Long> callers = new LinkedHashMap<>();
 
@@ -91,10 +95,35 @@
                     end(request, 200, FiguresText.TYPE, FiguresText.of(figures.get()));
                 }
             }
+            case "/calendar-stores/disable" -> bar(request, true);
+            case "/calendar-stores/enable" -> bar(request, false);
             default -> bad(request, 404, "no such page");
         }
     }
 
+    private void bar(HttpServerRequest request, boolean out) {
+        if (!allowed(request, HttpMethod.POST)) {
+            return;
+        }
+        String id = request.getParam("host");
+        if (id == null || id.isEmpty()) {
+            bad(request, 400, "host is missing");
+            return;
+        }
+        open.put(++lastCall, request);
+        events.accept(new Event.BarAsked(lastCall, id, out));
+    }
+
+    /** Says to the call of that number how it ended. */
+    public void reply(long call, int status, String text) {
+        HttpServerRequest request = open.remove(call);
+        if (request != null && status < 400) {
+            end(request, status, "text/plain", text + "\n");
+        } else if (request != null) {
+            bad(request, status, text);
+        }
+    }
+
     private boolean allowed(HttpServerRequest request, HttpMethod method) {
         if (request.method() == method) {
             return true;
--- a/src/main/java/dunlinhitch/config/Config.java
+++ b/src/main/java/dunlinhitch/config/Config.java
@@ -12,15 +12,17 @@
 
 /**
  * What a broker is told at its start: a JSON file, with name and addresses over-ridden by the environment.
- * {@code admin}, where operators call, may be null; {@code known} is the list of stores as the broker last had it, empty if there was none.
+ * {@code admin}, where operators call, may be null; {@code known} is the list of stores as the broker last had it, empty if there was none; {@code scratch} is a
+ * folder that the processes of this broker share, or null.
  */
 public record Config(String name, Address listen, Address admin, Address discovery, long seed, JsonObject known,
-        int sockets, Routing.Settings settings, Fronts fronts) {
+        int sockets, Routing.Settings settings, Fronts fronts, Path scratch) {
     /** Where the file does not say how many descriptors the process may hold. */
     public static final int SOCKETS = 1024;
     private static final int LEAST_SOCKETS = 64;
 
     private static final String ADMIN = "ROUTER_ADMIN_ADDR";
+    private static final String SCRATCH = "TMPDIR";
     static final String DISCOVERY = "ROUTER_DISCOVERY";
 
     /** What the file of fronts switches on; null: off. */
@@ -73,7 +75,8 @@
                     Long.parseUnsignedLong(root.getString("seed", "0"), 16),
                     known == null || known.isNull() ? Json.object() : known.asObject(),
                     sockets(root.get("limits")),
-                    SettingsReader.read(settings.asObject()), fronts);
+                    SettingsReader.read(settings.asObject()), fronts,
+                    env.containsKey(SCRATCH) ? Path.of(env.get(SCRATCH)) : null);
         } catch (ConfigException e) {
             throw new ConfigException(file + ": " + e.getMessage());
         } catch (RuntimeException e) {
--- a/src/main/java/dunlinhitch/core/Effect.java
+++ b/src/main/java/dunlinhitch/core/Effect.java
@@ -27,14 +27,25 @@
     record Release(int store) implements Effect {
     }
 
-    /** A store is new or changed; a gone one is to be left as soon as nothing is out to it. */
-    record StoreChanged(int store, StoreEntry entry) implements Effect {
+    /**
+     * A store is new or changed; a gone one is to be left as soon as nothing is out to it, one that is {@code barred}
+     * gets nothing new, whatever waits for it.
+     */
+    record StoreChanged(int store, StoreEntry entry, boolean barred) implements Effect {
     }
 
     /** The final answer of an exchange. */
     record Reply(long exchange, Answer answer) implements Effect {
     }
 
+    /** The store is out, or back; once that is kept for the processes to come, the call is told yes. */
+    record KeepBar(long call, String store, boolean out) implements Effect {
+    }
+
+    /** An operator's call names no store that is known. */
+    record UnknownStore(long call) implements Effect {
+    }
+
     /** The reducer wants a turn at that time at the latest. */
     record WakeAt(long dueUs) implements Effect {
     }
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -4,6 +4,7 @@
 import dunlinhitch.decide.Routing.Outcome;
 import dunlinhitch.decide.Routing.Settings;
 import java.util.List;
+import java.util.Set;
 
 /** Something that happened at an edge; the {@link Reducer} takes them in order. */
 public sealed interface Event {
@@ -44,6 +45,18 @@
     record DiscoveryNamed(String host, int port) implements Event {
     }
 
+    /** An operator wants a store out, or back; the call waits for its word. */
+    record BarAsked(long call, String store, boolean out) implements Event {
+    }
+
+    /** Stores that are out or back by what another process of this broker, or an earlier one, was asked. */
+    record BarsSeen(Set<String> out, Set<String> back) implements Event {
+        public BarsSeen {
+            out = Set.copyOf(out);
+            back = Set.copyOf(back);
+        }
+    }
+
     /** The configuration was read again and can be used: from now on its settings and its discovery's address hold. */
     record ConfigTaken(Settings settings, String host, int port) implements Event {
     }
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -83,7 +83,8 @@
     /** What operators are told. */
     public Figures figures() {
         List<StoreRow> listed = tables.stores.values().stream().filter(row -> row.state() != ServerState.GONE).toList();
-        int skipped = (int) listed.stream().filter(row -> row.state() == ServerState.DRAINING).count();
+        int skipped = (int) listed.stream()
+                .filter(row -> row.state() == ServerState.DRAINING || isBarred(row)).count();
         return new Figures(tallies.list(), counters.get(Count.ATTEMPTS_WRITTEN), open(), listed.size(), skipped,
                 counters.get(Count.CONFIGURATIONS_TAKEN), counters.get(Count.BAD_CONFIGURATIONS));
     }
@@ -137,6 +138,11 @@
             rosterNews(e);
         } else if (event instanceof Event.DiscoveryNamed e) {
             discoveryNamed(e);
+        } else if (event instanceof Event.BarAsked e) {
+            barAsked(e);
+        } else if (event instanceof Event.BarsSeen e) {
+            e.out().forEach(name -> bar(name, true));
+            e.back().forEach(name -> bar(name, false));
         } else if (event instanceof Event.ConfigTaken e) {
             configTaken(e);
         } else if (event instanceof Event.SiblingServes e) {
@@ -316,6 +322,9 @@
                 && now >= store.toldUs + settings.rules().drainGraceUs()) {
             return "the store takes nothing new";
         }
+        if (isBarred(store)) {
+            return "the store is out by hand";
+        }
         int cells = settings.layout().cells();
         if (Math.floorMod(store.entry.cell() - part.ask.shard(), cells) >= settings.layout().inARow()) {
             return "the store does not hold its shard";
@@ -401,7 +410,8 @@
                 continue;
             }
             if (row == null) {
-                row = new StoreRow(++lastStore, entry);
+                Integer kept = tables.barred.get(entry.name());
+                row = new StoreRow(kept == null ? ++lastStore : kept, entry);
                 tables.stores.put(row.number, row);
                 tables.byName.put(entry.name(), row);
                 row.toldUs = now;
@@ -429,6 +439,43 @@
         });
     }
 
+    private boolean isBarred(StoreRow row) {
+        return tables.barred.containsKey(row.entry.name());
+    }
+
+    private void barAsked(Event.BarAsked e) {
+        StoreRow row = tables.byName.get(e.store());
+        boolean listed = row != null && row.state() != ServerState.GONE;
+        if (!listed && !tables.barred.containsKey(e.store())) {
+            effects.add(new Effect.UnknownStore(e.call()));
+            return;
+        }
+        bar(e.store(), e.out());
+        effects.add(new Effect.KeepBar(e.call(), e.store(), e.out()));
+    }
+
+    /** Holds until it is called back, whatever the list says meanwhile; what is asked twice changes nothing. */
+    private void bar(String name, boolean out) {
+        if (tables.barred.containsKey(name) == out) {
+            return;
+        }
+        StoreRow row = tables.byName.get(name);
+        int number = out ? row == null ? ++lastStore : row.number : tables.barred.get(name);
+        if (out) {
+            tables.barred.put(name, number);
+            List<Effect.PartSend> unsent = calls.remove(number);
+            (unsent == null ? List.<Effect.PartSend>of() : unsent).forEach(
+                    send -> owed.add(end(tables.attempts.get(send.attempt()), Outcome.MOOT)));
+        } else {
+            tables.barred.remove(name);
+        }
+        effects.add(new Effect.Log("store " + name + (out ? " is out by hand" : " may serve again")));
+        if (row != null) {
+            effects.add(new Effect.StoreChanged(number, row.entry, out));
+        }
+        tell(new Routing.ServerBarred(number, out));
+    }
+
     /** The list that is held stands: what the new address knows of it comes from there. */
     private void discoveryNamed(Event.DiscoveryNamed e) {
         if (!e.equals(discovery)) {
@@ -445,7 +492,7 @@
         }
         row.entry = entry;
         if (!same) {
-            effects.add(new Effect.StoreChanged(row.number, entry));
+            effects.add(new Effect.StoreChanged(row.number, entry, isBarred(row)));
         }
     }
 
@@ -545,7 +592,7 @@
         @Override
         public void probe(int server) {
             StoreRow store = tables.stores.get(server);
-            if (store == null) {
+            if (store == null || isBarred(store)) {
                 owed.add(new Routing.ProbeEnded(server, Outcome.MOOT, 0, new float[0]));
                 return;
             }
--- a/src/main/java/dunlinhitch/core/Tables.java
+++ b/src/main/java/dunlinhitch/core/Tables.java
@@ -19,6 +19,8 @@
     final Map<Long, ProbeRow> probes = new HashMap<>();
     final Map<Integer, StoreRow> stores = new LinkedHashMap<>();
     final Map<String, StoreRow> byName = new HashMap<>();
+    /** Stores that are out by hand, and the number that each keeps meanwhile, listed or not. */
+    final Map<String, Integer> barred = new HashMap<>();
 
     /** Queries and parts that are held, sent or not. */
     int held() {
--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -58,6 +58,8 @@
     private static final double REPORT_STEP = 0.4; // weight of the newest: what lasts counts more
     private static final double REPORT_CAP = 200; // most that a report may say, in parts: it can lie
 
+    private static final double TRIAL_WITHIN_US = 2e6; // what is back gets its first part so soon
+
     private Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
@@ -113,6 +115,8 @@
             alarmRang(e);
         } else if (event instanceof ClientLeft e) {
             clientLeft(e);
+        } else if (event instanceof ServerBarred e) {
+            serverBarred(e);
         } else if (event instanceof Retuned e) {
             tune(e.settings());
         } else if (event instanceof Start) {
@@ -243,6 +247,9 @@
                 if (again || !usable(s, pass == 2) || part.isOutAt(s) || !coldAllows(s, part)) {
                     continue;
                 }
+                if (s.trialUs > 0 && now >= s.trialUs) {
+                    return s; // cold and unheard it would lose to the others for as long as they are not busy
+                }
                 double score = score(s, part) * (1 + 0.001 * random.nextDouble());
                 if (best == null || score < least) {
                     best = s;
@@ -264,8 +271,9 @@
 
     /** A draining server gets nothing more, unless its shard has no other; never after the grace. */
     private boolean usable(Server s, boolean lastResort) {
-        return s.state == ServerState.READY || lastResort && s.state == ServerState.DRAINING
-                && now < s.toldUs + settings.rules().drainGraceUs() - marginUs;
+        return !barred.contains(s.id) && (s.state == ServerState.READY
+                || lastResort && s.state == ServerState.DRAINING
+                && now < s.toldUs + settings.rules().drainGraceUs() - marginUs);
     }
 
     // ---- cold guard ---------------------------------------------------------------------
@@ -328,6 +336,7 @@
             actions.release(s.id);
         }
         s.usedAtUs = now;
+        s.trialUs = 0;
         if (part.attempts > 0) {
             repeatedAt.addLast(now);
         }
@@ -970,7 +979,7 @@
         }
         Set<Server> unheard = new LinkedHashSet<>();
         q.parts.forEach(part -> unheard.addAll(replicas(part)));
-        unheard.removeIf(s -> s.state != ServerState.READY || s.probing
+        unheard.removeIf(s -> s.state != ServerState.READY || s.probing || barred.contains(s.id)
                 || now - s.reportedAtUs < reportAgeUs / 8);
         unheard.stream().sorted(Comparator.comparingLong(s -> s.reportedAtUs)).limit((long) probeCredit)
                 .forEach(q.scouts::add);
@@ -1050,12 +1059,33 @@
             s.coldCredit = random.nextDouble() * unitUs();
             s.coldAtUs = now;
         }
-        s.startedUs = entry.startedUs();
+        s.startedUs = Math.max(entry.startedUs(), s.backUs);
         s.zone = entry.zone();
         s.cell = entry.cell();
         tell(s, entry.state());
     }
 
+    private final Set<Integer> barred = new HashSet<>(); // out by hand, whatever the list says
+
+    /** Called back, a server is taken for one that has just started, and is tried soon: nothing that was learnt
+     * of it still holds, and who called it back waits to see it serve. */
+    private void serverBarred(ServerBarred e) {
+        boolean changed = e.out() ? barred.add(e.server()) : barred.remove(e.server());
+        Server s = servers.get(e.server());
+        if (!changed || e.out() || s == null) {
+            return;
+        }
+        s.debtUs = 0;
+        s.failuresInARow = 0;
+        s.reported = 0;
+        s.reportedAtUs = 0;
+        s.backUs = now;
+        s.startedUs = now;
+        s.coldCredit = random.nextDouble() * unitUs();
+        s.coldAtUs = now;
+        s.trialUs = now + (long) (random.nextDouble() * TRIAL_WITHIN_US);
+    }
+
     /** A new server starts at the mean of those it shares shards with. */
     private double meanEntry(int cell) {
         int cells = settings.layout().cells();
--- a/src/main/java/dunlinhitch/decide/Routing.java
+++ b/src/main/java/dunlinhitch/decide/Routing.java
@@ -143,7 +143,7 @@
 
     /** Something that happened. */
     public sealed interface Event permits Start, QueryArrived, PartArrived, AttemptStarted, AttemptEnded,
-            ProbeEnded, ServerList, Retuned, AlarmRang, PeerMessage, ClientLeft {
+            ProbeEnded, ServerList, ServerBarred, Retuned, AlarmRang, PeerMessage, ClientLeft {
     }
 
     /** The aggregator begins; the first event, once. */
@@ -176,6 +176,10 @@
     public record ServerList(ListKind kind, List<ServerEntry> servers) implements Event {
     }
 
+    /** A server is taken out by hand, or may serve again: it is new and cold then. Its id stays the same meanwhile. */
+    public record ServerBarred(int server, boolean out) implements Event {
+    }
+
     /** Other settings hold from now on; queries that are open keep their class. Zones and layout are the same. */
     public record Retuned(Settings settings) implements Event {
     }
--- a/src/main/java/dunlinhitch/decide/State.java
+++ b/src/main/java/dunlinhitch/decide/State.java
@@ -101,6 +101,10 @@
         long toldUs;
         long heardUs;
         long startedUs;
+        /** When it came back after it was out by hand: cold from then. */
+        long backUs;
+        /** From when on it is to be tried once, 0 not. */
+        long trialUs;
         long usedAtUs;
         double ledgerUs;
         final List<Attempt> out = new ArrayList<>();
--- a/src/main/java/dunlinhitch/dispatch/Stores.java
+++ b/src/main/java/dunlinhitch/dispatch/Stores.java
@@ -28,7 +28,7 @@
         this.events = events;
     }
 
-    public void changed(int store, StoreEntry entry) {
+    public void changed(int store, StoreEntry entry, boolean barred) {
         leaving.removeIf(Transport::idle);
         Way old = ways.get(store);
         boolean moved = old != null && !old.entry().sameAddress(entry);
@@ -43,6 +43,7 @@
         }
         Transport transport = old == null ? opener.apply(entry) : old.transport();
         transport.state(entry.state());
+        transport.barred(barred);
         ways.put(store, new Way(entry, transport));
     }
 
--- a/src/main/java/dunlinhitch/dispatch/Transport.java
+++ b/src/main/java/dunlinhitch/dispatch/Transport.java
@@ -27,6 +27,9 @@
      */
     void state(ServerState state);
 
+    /** The operators' word on the store: while it is barred nothing new leaves, whatever waits for a connection. */
+    void barred(boolean out);
+
     /** True where nothing is out and nothing waits. */
     boolean idle();
 
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.apache.arrow.flight.FlightClient;
 import org.apache.arrow.flight.FlightStream;
@@ -32,6 +33,7 @@
 
     private final FlightStores shared;
     private final FlightClient client;
+    private final BooleanSupplier barred;
     private final Consumer<Event.AttemptOver> over;
     private final byte[] ticket;
     private final int tries;
@@ -44,9 +46,11 @@
     private volatile FlightStream stream;
     private volatile boolean cancelled;
 
-    FlightCall(FlightStores shared, FlightClient client, List<PartSend> parts, Consumer<Event.AttemptOver> over) {
+    FlightCall(FlightStores shared, FlightClient client, List<PartSend> parts, BooleanSupplier barred,
+            Consumer<Event.AttemptOver> over) {
         this.shared = shared;
         this.client = client;
+        this.barred = barred;
         this.over = over;
         tries = parts.size();
         sentUs = shared.nowUs();
@@ -81,6 +85,10 @@
 
     @Override
     public void run() {
+        if (barred.getAsBoolean()) {
+            shared.onLoop(() -> ended(Outcome.CONNECT_FAILED)); // it never left
+            return;
+        }
         try {
             FlightStream made = client.getStream(new Ticket(ticket), FlightTransport.until(dueUs, shared.nowUs()));
             shared.onLoop(() -> shared.events().accept(new Event.TriesWritten(tries)));
@@ -88,7 +96,7 @@
         } catch (RuntimeException e) {
             // the stream was cut, cancelled or never began: what has no row by now may have run
         }
-        shared.onLoop(this::ended);
+        shared.onLoop(() -> ended(Outcome.RESET));
     }
 
     private void read(FlightStream read) {
@@ -136,7 +144,7 @@
         if (outcome == null || row.value() == null || !asked) { // nothing that such a stream says can be trusted
             shared.events().accept(new Event.Noted(Count.BAD_FRAMES));
             cancel();
-            ended();
+            ended(Outcome.RESET);
             return;
         }
         Long attempt = open.remove(row.id());
@@ -146,9 +154,9 @@
         }
     }
 
-    private void ended() {
+    private void ended(Outcome outcome) {
         List<Long> lost = List.copyOf(open.values());
         open.clear();
-        lost.forEach(attempt -> over.accept(Event.AttemptOver.of(attempt, Outcome.RESET)));
+        lost.forEach(attempt -> over.accept(Event.AttemptOver.of(attempt, outcome)));
     }
 }
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
@@ -24,6 +24,7 @@
 import org.apache.arrow.flight.Action;
 import org.apache.arrow.flight.CallOption;
 import org.apache.arrow.flight.CallOptions;
+import org.apache.arrow.flight.CallStatus;
 import org.apache.arrow.flight.FlightClient;
 import org.apache.arrow.flight.FlightGrpcUtils;
 import org.apache.arrow.flight.FlightRuntimeException;
@@ -46,6 +47,8 @@
     /** When the store last said anything of a part. */
     private long heardUs;
     private boolean closed;
+    /** Read by the threads that make the calls, just before. */
+    private volatile boolean barred;
 
     FlightTransport(FlightStores shared, StoreEntry entry) {
         this.shared = shared;
@@ -63,9 +66,9 @@
     @Override
     public void call(List<PartSend> parts) {
         boolean up = channel.getState(false) == ConnectivityState.READY;
-        boolean barred = closed || state == ServerState.GONE || state == ServerState.DRAINING && !up
+        boolean mayNot = closed || barred || state == ServerState.GONE || state == ServerState.DRAINING && !up
                 || out.size() + parts.size() > FlightStores.MOST_OUT;
-        if (barred) {
+        if (mayNot) {
             parts.forEach(p -> over(p.attempt(), Outcome.CONNECT_FAILED));
         } else if (up) {
             begin(parts);
@@ -108,7 +111,7 @@
     }
 
     private void begin(List<PartSend> parts) {
-        FlightCall call = new FlightCall(shared, client, parts, this::over);
+        FlightCall call = new FlightCall(shared, client, parts, () -> barred, this::over);
         parts.forEach(p -> out.put(p.attempt(), call));
         try {
             shared.readers().execute(call);
@@ -168,6 +171,9 @@
             shared.actions().execute(() -> {
                 String text = null;
                 try {
+                    if (barred && type.equals(PROBE)) {
+                        throw CallStatus.CANCELLED.toRuntimeException();
+                    }
                     Iterator<Result> results = client.doAction(
                             new Action(type, body.getBytes(StandardCharsets.UTF_8)), until(dueUs, shared.nowUs()));
                     while (results.hasNext()) {
@@ -207,6 +213,14 @@
         leaveWhenIdle();
     }
 
+    @Override
+    public void barred(boolean out) {
+        barred = out;
+        if (out) {
+            dropWaiting();
+        }
+    }
+
     private void dropWaiting() {
         List<List<PartSend>> calls = List.copyOf(waiting);
         waiting.clear();
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
@@ -110,6 +110,11 @@
         return out.isEmpty() && waiting.isEmpty() && probes.isEmpty() && waitingProbes.isEmpty();
     }
 
+    /** True while a frame of a part has not left whole. */
+    boolean isWriting() {
+        return out.values().stream().anyMatch(o -> !o.write().isComplete());
+    }
+
     /** True where so many more parts may go; closes a connection that the store is about to close. */
     boolean takes(int parts, Set<String> ids) {
         if (isIdle() && now() - usedUs >= shared.idleAfterUs()) {
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
@@ -74,6 +74,7 @@
     private final StoreEntry entry;
     private final List<FrameConnection> connections = new ArrayList<>();
     private ServerState state = ServerState.READY;
+    private boolean barred;
 
     public FrameTransport(Shared shared, StoreEntry entry) {
         this.shared = shared;
@@ -84,7 +85,7 @@
     public void call(List<PartSend> parts) {
         Set<String> ids = parts.stream().map(PartSend::partId).collect(Collectors.toSet());
         FrameConnection best = null;
-        if (state != ServerState.GONE) {
+        if (state != ServerState.GONE && !barred) {
             for (FrameConnection c : List.copyOf(connections)) {
                 // one that is still to come up would take the call past the word that the store drains
                 boolean fits = c.takes(parts.size(), ids) && (state == ServerState.READY || c.isOpen());
@@ -115,7 +116,7 @@
     @Override
     public void probe(long probe) {
         FrameConnection best = null;
-        for (FrameConnection c : List.copyOf(connections)) { // one that stood idle for long closes on being asked
+        for (FrameConnection c : barred ? List.<FrameConnection>of() : List.copyOf(connections)) { // one that stood idle for long closes on being asked
             if (c.takes(0, Set.of()) && (best == null || c.isOpen())) {
                 best = c;
             }
@@ -131,7 +132,7 @@
     }
 
     private boolean mayOpen() {
-        return state == ServerState.READY && connections.size() < MOST_CONNECTIONS
+        return state == ServerState.READY && !barred && connections.size() < MOST_CONNECTIONS
                 && shared.connections < shared.mostConnections.getAsInt();
     }
 
@@ -163,6 +164,15 @@
         }
     }
 
+    /** What is not whole in the kernel's hands by now would reach the store later. */
+    @Override
+    public void barred(boolean out) {
+        barred = out;
+        if (out) {
+            List.copyOf(connections).stream().filter(c -> !c.isOpen() || c.isWriting()).forEach(FrameConnection::close);
+        }
+    }
+
     @Override
     public boolean idle() {
         return connections.stream().allMatch(FrameConnection::isIdle);
--- a/src/test/java/dunlinhitch/AdminTest.java
+++ b/src/test/java/dunlinhitch/AdminTest.java
@@ -3,23 +3,32 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dunlinhitch.admin.BanFolder;
 import dunlinhitch.standin.Client;
 import dunlinhitch.standin.FlightStore;
 import dunlinhitch.standin.FrameStore;
 import dunlinhitch.standin.Stage;
+import dunlinhitch.standin.Store;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** What operators ask and are told, over loopback. */
 class AdminTest {
     private final Stage stage;
+    @TempDir
+    private Path dir;
 
     AdminTest() throws Exception {
         stage = new Stage();
@@ -75,6 +84,81 @@
         flight.close();
     }
 
+    private void disable(String id, boolean out, int status) throws IOException {
+        assertEquals(status, status(call("POST /calendar-stores/" + (out ? "disable" : "enable") + "?host=" + id)));
+    }
+
+    /**
+     * The same on both wires: out from the yes on, also where the list names the store anew; asked twice it is out once;
+     * one call brings it back, and it is used again soon.
+     */
+    @Test
+    void aStoreThatIsOutGetsNothingUntilItIsCalledBack() throws Exception {
+        stage.scratch = dir;
+        FrameStore frames = new FrameStore(stage.vertx, "s/1 é");
+        FlightStore flight = new FlightStore("g");
+        stage.list(frames, flight);
+        stage.start(Stage.settings(100), null);
+        Client http = Client.http(stage.httpPort);
+        for (Store out : List.of(frames, flight)) {
+            String id = URLEncoder.encode(out.name, StandardCharsets.UTF_8);
+            disable(id, true, 200);
+            disable(id, true, 200);
+            assertEquals(1, Files.list(dir.resolve("stores-out")).count());
+            assertEquals(1, figure("skipped_calendar_stores"));
+            stage.list(frames, flight);
+            out.seen.clear();
+            out.probes.clear();
+            for (int i = 0; i < 10; i++) {
+                assertEquals("whole", http.ask("free-search", Map.of("X-Trace-Id", out.name.charAt(0) + "q" + i,
+                        "X-Expires-In", "1.0"), Client.body(0, 1)).get(5, TimeUnit.SECONDS).end());
+            }
+            assertEquals(0, out.seen.size() + out.probes.size());
+            disable(id, false, 200);
+            disable(id, false, 200);
+            assertEquals(0, Files.list(dir.resolve("stores-out")).count());
+            long endMs = System.currentTimeMillis() + 5_000;
+            for (int i = 0; out.seen.isEmpty() && System.currentTimeMillis() < endMs; i++) {
+                http.ask("free-search", Map.of("X-Trace-Id", out.name.charAt(0) + "b" + i, "X-Expires-In", "1.0"),
+                        Client.body(0, 1)).get(5, TimeUnit.SECONDS);
+            }
+            assertTrue(out.seen.size() > 0, out.name + " is not used again");
+        }
+        disable("nobody", true, 404);
+        disable("nobody", false, 404);
+        assertEquals(400, status(call("POST /calendar-stores/disable")));
+        assertEquals(405, status(call("GET /calendar-stores/disable?host=g")));
+        flight.close();
+    }
+
+    /** Two processes share the folder: what one was asked holds at the other, and at one that is started later. */
+    @Test
+    void anotherProcessOfTheBrokerTakesTheBan() throws Exception {
+        List<String> told = new CopyOnWriteArrayList<>();
+        BanFolder one = new BanFolder(stage.vertx, dir, (out, back) -> told.add("one " + out + back));
+        BanFolder two = new BanFolder(stage.vertx, dir, (out, back) -> told.add("two " + out + back));
+        one.start(true).toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        two.start(true).toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        for (String id : List.of("a", "../b c")) {
+            one.keep(id, true).toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+            untilTold(told, "two [" + id + "][]");
+        }
+        BanFolder later = new BanFolder(stage.vertx, dir, (out, back) -> told.add("later " + out.size()));
+        later.start(false).toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        untilTold(told, "later 2");
+        two.keep("a", false).toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        untilTold(told, "one [][a]");
+        assertEquals(4, told.size(), "own changes are no news: " + told);
+    }
+
+    private static void untilTold(List<String> told, String what) {
+        long endMs = System.currentTimeMillis() + 5_000;
+        while (!told.contains(what) && System.currentTimeMillis() < endMs) {
+            Thread.onSpinWait();
+        }
+        assertTrue(told.contains(what), () -> what + " is not in " + told);
+    }
+
     @Test
     void wrongCallsAreOwedANo() throws Exception {
         stage.start(Stage.settings(100), null);
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -15,6 +15,7 @@
 import dunlinhitch.standin.Stage;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -165,6 +166,38 @@
         assertEquals(0, reducer.counters().get(Count.FAULTS));
     }
 
+    /** The ban outlives the list's word: the store leaves the list, comes back as ready and still gets nothing. */
+    @Test
+    void aBanHoldsWhateverTheListSays() {
+        stores();
+        turn(new Event.BarAsked(1, "a", true), new Event.BarAsked(2, "a", true), new Event.BarAsked(3, "nobody", true));
+        assertEquals(List.of(new Effect.KeepBar(1, "a", true), new Effect.KeepBar(2, "a", true)),
+                of(Effect.KeepBar.class));
+        assertEquals(List.of(new Effect.UnknownStore(3)), of(Effect.UnknownStore.class));
+        turn(new Event.RosterNews(ListKind.FULL, List.of(store("b", 1, ServerState.READY))));
+        turn(new Event.RosterNews(ListKind.DELTA, List.of(store("a", 0, ServerState.READY))));
+        int a = of(Effect.StoreChanged.class).stream().filter(c -> c.entry().name().equals("a")).findFirst()
+                .orElseThrow().store();
+        assertTrue(of(Effect.StoreChanged.class).get(of(Effect.StoreChanged.class).size() - 1).barred());
+        assertEquals(1, reducer.figures().skippedStores());
+        turn(query(1, 0, 10));
+        assertTrue(of(SendCall.class).stream().noneMatch(call -> call.store() == a));
+        turn(new Event.BarAsked(4, "a", false));
+        assertEquals(0, reducer.figures().skippedStores());
+        assertEquals(0, reducer.counters().get(Count.SENDS_BARRED));
+    }
+
+    /** A part that was to leave in the turn in which its store is taken out goes to the other one. */
+    @Test
+    void whatIsAboutToLeaveForABarredStoreDoesNot() {
+        stores();
+        turn(query(1, 0, 10), new Event.BarsSeen(Set.of("a"), Set.of()));
+        int a = of(Effect.StoreChanged.class).get(0).store();
+        run(50_000);
+        assertTrue(of(SendCall.class).stream().noneMatch(call -> call.store() == a));
+        assertEquals(10, of(SendCall.class).stream().mapToInt(call -> call.parts().size()).sum());
+    }
+
     /** Fewer attempts bind what is open as well as what is new. */
     @Test
     void attemptsAreTheFewestOfTheSettingsThatAQueryMet() {
--- a/src/test/java/dunlinhitch/decide/PolicyTest.java
+++ b/src/test/java/dunlinhitch/decide/PolicyTest.java
@@ -45,6 +45,33 @@
         s.done.clear();
     }
 
+    // out by hand
+
+    /** Called back it is cold and unheard, and would lose to an idle one for long: it is tried once all the same. */
+    @Test
+    void aServerThatIsCalledBackIsUsedSoonAndSparingly() {
+        Script s = pair(new Sites());
+        warmUp(s, 10);
+        s.event(new Routing.ServerBarred(1, true));
+        warmUp(s, 20);
+        s.query(0, LONG, 0, 1, 2, 3);
+        assertTrue(s.sent.stream().allMatch(x -> x.server() == 2));
+        answerAll(s);
+        s.sent.clear();
+        s.event(new Routing.ServerBarred(1, false));
+        int used = 0;
+        for (int i = 0; i < 50; i++) { // of 5 s
+            int from = s.sent.size();
+            s.query(0, LONG, 0);
+            s.run(100_000);
+            for (Script.Sent sent : new ArrayList<>(s.sent.subList(from, s.sent.size()))) {
+                used += sent.server() == 1 ? 1 : 0;
+                s.end(sent, Outcome.OK);
+            }
+        }
+        assertTrue(used > 0 && used < 25, "used " + used + " times of 50");
+    }
+
     // the mechanism
 
     @Test
--- a/src/test/java/dunlinhitch/standin/Stage.java
+++ b/src/test/java/dunlinhitch/standin/Stage.java
@@ -12,6 +12,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.transport.Transport;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,8 @@
     public volatile int adminPort;
     /** Descriptors that the broker may hold. */
     public int sockets = Config.SOCKETS;
+    /** The folder that processes of the broker share. */
+    public Path scratch;
 
     /** The peers share the broker's loop: a broker that blocked it would get no answer at all. */
     public Stage() throws Exception {
@@ -58,7 +61,7 @@
     public void start(Routing.Settings settings, Config.DnsService dns) throws Exception {
         Address any = new Address("127.0.0.1", 0);
         Config config = new Config("n0", any, any, new Address("127.0.0.1", discovery.port()), 7, Json.object(), sockets,
-                settings, new Config.Fronts(any, dns));
+                settings, new Config.Fronts(any, dns), scratch);
         Context context = vertx.getOrCreateContext();
         CompletableFuture<Integer> port = new CompletableFuture<>();
         context.runOnContext(v -> {
