A cold store's budget is measured by what warm ones are seen to do

It took one core for what a store can do. Ruled out: waiting at the cold stores (0 to 1 out), health debt (0).

--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -31,6 +31,7 @@
     private static final double LATE_FACTOR = 2; // an answer that took more than this leaves the rest as debt
     private static final double SILENT_FACTOR = 5; // silence of so many times the foreseen is no load
     private static final double COPY_SHARE = 0.7; // of the attempts' budget; the rest is for what has failed
+    private static final double SERVED_AIMS = 10; // of so long is what warm servers were seen to do
     private static final double COLD_SHARE = 0.6; // of a cold server's budget: work is only estimated
     private static final double PROBES_PER_PART = 0.2; // while queries are answered; all replicas if none is
     private static final long SCOUTS_PER_AIM = 32; // a query waits for its probes for this part of an aim
@@ -289,9 +290,25 @@
         return Math.max(0.01, from + (1 - from) * Math.max(0, age) / warmAfter);
     }
 
-    /** Work a second that this aggregator may send a cold server, as a share of time. */
+    /** Work a second that this aggregator may send a cold server, as a share of time: of what a server can do
+     * when warm. That is one core's work at least, shared by all; or what warm ones are seen to do for this
+     * aggregator, for all aggregators see no more together than they can. */
     private double coldRate(Server s) {
-        return COLD_SHARE * settings.rules().overloadFactor() * warmth(s) / settings.aggregators();
+        double warm = served * faded(servedAtUs, SERVED_AIMS * reportAgeUs) / (SERVED_AIMS * reportAgeUs)
+                / Math.max(1, warmReady);
+        return COLD_SHARE * settings.rules().overloadFactor() * warmth(s)
+                * Math.max(1.0 / settings.aggregators(), warm);
+    }
+
+    private double served; // work that warm servers have answered of late, fading
+    private long servedAtUs;
+    private long warmReady; // servers that are warm and may be sent to, when that was last seen
+
+    private void learnServed(Attempt a) {
+        if (warmth(a.server) >= 1) {
+            served = coldWork(a.part) + served * faded(servedAtUs, SERVED_AIMS * reportAgeUs);
+            servedAtUs = now;
+        }
     }
 
     /** Protects a server that has just started from being pushed over: a bucket of work that fills at this
@@ -303,7 +320,7 @@
             return true;
         }
         double rate = coldRate(s);
-        double most = Math.max(rate * settings.rules().fallUs(), coldWork(part));
+        double most = Math.max(rate * settings.rules().fallUs() / 2, coldWork(part)); // and as much flows in
         s.coldCredit = Math.min(most, s.coldCredit + rate * (now - s.coldAtUs));
         s.coldAtUs = now;
         return s.coldCredit >= coldWork(part);
@@ -472,6 +489,7 @@
                 s.heardUs = now;
                 a.part.query.learned.took.add(now - a.sentUs);
                 learnWork(a.part.query.learned);
+                learnServed(a);
                 calibrate(a);
                 s.failuresInARow /= 2;
                 double unforeseen = settings.limits().mayProbe() ? 0 // then probes tell of the slow
@@ -887,6 +905,7 @@
         if (e.token() == SWEEP) {
             lagUs = Math.max(now - sweepDueUs - marginUs, LAG_KEPT * lagUs);
             sweepAgain();
+            warmReady = servers.values().stream().filter(s -> usable(s, false) && warmth(s) >= 1).count();
         }
         if (e.token() >= QUERY) {
             Query q = queries.get((int) (e.token() / QUERY - 1));
@@ -1067,8 +1086,8 @@
 
     private final Set<Integer> barred = new HashSet<>(); // out by hand, whatever the list says
 
-    /** Called back, a server is taken for one that has just started, and is tried soon: nothing that was learnt
-     * of it still holds, and who called it back waits to see it serve. */
+    /** Called back, a server is taken for one that has just started, and is tried soon: nothing that was
+     * learnt of it still holds, and who called it back waits to see it serve. */
     private void serverBarred(ServerBarred e) {
         boolean changed = e.out() ? barred.add(e.server()) : barred.remove(e.server());
         Server s = servers.get(e.server());
