--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -51,6 +51,9 @@
     private static final int CLIENTS_PART = 2;
     /** Connections to stores; the last quarter is the program's own. */
     private static final int STORES_PART = 4;
+    /** The same while two processes are one broker: the old one takes no more, and clients are a third of both. */
+    private static final int SHARED_CLIENTS_PART = 3;
+    private static final int SHARED_STORES_PART = 6;
     /** From its first second on a new process has the old one beside it for so long. */
     private static final long OVERLAP_US = 6_000_000;
     private final Vertx vertx;
@@ -91,7 +94,7 @@
         loop = new Loop(vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(reducer::settings);
-        http = new HttpFront(vertx, exchanges, queries, loop, clock, () -> mostSockets() / CLIENTS_PART, this::ready,
+        http = new HttpFront(vertx, exchanges, queries, loop, clock, () -> config.sockets() / (reducer.siblingServes() ? SHARED_CLIENTS_PART : CLIENTS_PART), this::ready,
                 () -> reducer.counters().lines(), handed);
         admin = config.admin() == null ? null
                 : new AdminFront(vertx, this::ready, reducer::figures, loop, clock);
@@ -99,7 +102,7 @@
                 (out, back) -> loop.accept(new Event.BarsSeen(out, back)));
         Reports reports = new Reports(() -> reducer.settings().reportFields());
         FrameTransport.Shared frames =
-                new FrameTransport.Shared(vertx, () -> reducer.settings().limits(), () -> mostSockets() / STORES_PART, reports,
+                new FrameTransport.Shared(vertx, () -> reducer.settings().limits(), () -> config.sockets() / (reducer.siblingServes() ? SHARED_STORES_PART : STORES_PART), reports,
                         clock, loop);
         // no class of Arrow is loaded unless this front is on or a store speaks Flight
         flight = config.fronts().flight() == null ? null
@@ -118,11 +121,6 @@
         loop.accept(new Event.DiscoveryNamed(config.discovery().host(), config.discovery().port()));
     }
 
-    /** Descriptors are counted over all processes of a broker. */
-    private int mostSockets() {
-        return reducer.siblingServes() ? config.sockets() / 2 : config.sockets();
-    }
-
     private Transport open(Context context, FrameTransport.Shared frames, Reports reports, StoreEntry entry) {
         if (entry.wire() == StoreEntry.StoreWire.FRAMES) {
             return new FrameTransport(frames, entry);
@@ -143,10 +141,12 @@
     public Future<Integer> start() {
         vertx.exceptionHandler(this::fault);
         roster.start();
-        if (handed != null) {
-            loop.accept(new Event.SiblingServes(clock.getAsLong() + OVERLAP_US));
-        }
-        return bans.start(handed != null).compose(v -> http.listen(config.listen().host(), config.listen().port()))
+        return bans.start(handed != null).compose(before -> {
+            if (handed != null && before) { // the process that was here is asked to end only after this one is ready
+                loop.accept(new Event.SiblingServes(clock.getAsLong() + OVERLAP_US));
+            }
+            return http.listen(config.listen().host(), config.listen().port());
+        })
                 .onSuccess(bound -> port = bound)
                 .compose(v -> flight == null ? Future.succeededFuture()
                         : flight.listen(config.fronts().flight().host(), config.fronts().flight().port())
--- a/src/main/java/dunlinhitch/admin/BanFolder.java
+++ b/src/main/java/dunlinhitch/admin/BanFolder.java
@@ -37,15 +37,23 @@
         this.news = news;
     }
 
-    /** Reads what was left here; {@code shared}: and from now on what another process changes. */
-    public Future<Void> start(boolean shared) {
+    /**
+     * Reads what was left here; {@code shared}: and from now on what another process changes. The result is whether
+     * another process of this broker was here before.
+     */
+    public Future<Boolean> start(boolean shared) {
         if (folder == null) {
-            return Future.succeededFuture();
+            return Future.succeededFuture(false);
         }
         if (shared) {
             vertx.setPeriodic(LOOK_AFTER_MS, t -> look());
         }
-        return look();
+        Future<Boolean> before = vertx.executeBlocking(() -> {
+            boolean found = Files.isDirectory(folder);
+            Files.createDirectories(folder);
+            return found;
+        });
+        return before.compose(found -> look().map(found));
     }
 
     /** Over when it is kept. */
@@ -53,7 +61,6 @@
         return folder == null ? Future.succeededFuture() : vertx.executeBlocking(() -> {
             Path file = folder.resolve(name(id));
             if (out) {
-                Files.createDirectories(folder);
                 Files.write(file, new byte[0]);
                 seen.add(id);
             } else {
@@ -91,17 +98,15 @@
 
     private Set<String> list() throws IOException {
         Set<String> ids = new HashSet<>();
-        if (Files.isDirectory(folder)) {
-            try (Stream<Path> files = Files.list(folder)) {
-                files.forEach(file -> {
-                    try {
-                        ids.add(new String(Base64.getUrlDecoder().decode(file.getFileName().toString()),
-                                StandardCharsets.UTF_8));
-                    } catch (IllegalArgumentException e) {
-                        // a file of somebody else's
-                    }
-                });
-            }
+        try (Stream<Path> files = Files.list(folder)) {
+            files.forEach(file -> {
+                try {
+                    ids.add(new String(Base64.getUrlDecoder().decode(file.getFileName().toString()),
+                            StandardCharsets.UTF_8));
+                } catch (IllegalArgumentException e) {
+                    // a file of somebody else's
+                }
+            });
         }
         return ids;
     }
