A connection that falls silent is found out by a check and closed, on both wires

Ruled out: processor time (0.5 of 0.5 only in moments), memory. At fault: FrameConnection.giveUp was the only place that looked, after SILENT_US and a part's own time. Tests on both wires: a busy store's parts stay out, a mute one's end.

--- a/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
@@ -75,6 +75,12 @@
         return id;
     }
 
+    /** Nothing comes from there any more: what has no row by now may have run. */
+    void lost() {
+        cancel();
+        ended(Outcome.RESET);
+    }
+
     private void cancel() {
         cancelled = true;
         FlightStream read = stream;
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightStores.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightStores.java
@@ -30,6 +30,9 @@
     static final double IDLE_SHARE = 0.8;
     /** A wait of so long without a word is more than a busy store's. */
     static final long SILENT_US = 1_000_000;
+    /** As on frames: of the connect time, quiet for the first part a channel is asked, and answers within the second. */
+    static final int QUIET_PART = 3;
+    static final int ANSWER_PART = 2;
     private static final int READERS = 64;
     private static final int ACTORS = 2;
     private static final int MOST_ACTIONS = 512;
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
@@ -19,8 +19,10 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.apache.arrow.flight.Action;
 import org.apache.arrow.flight.CallOption;
 import org.apache.arrow.flight.CallOptions;
@@ -46,6 +48,7 @@
     private long connectRound;
     /** When the store last said anything of a part. */
     private long heardUs;
+    private boolean watched;
     private boolean closed;
     /** Read by the threads that make the calls, just before. */
     private volatile boolean barred;
@@ -113,6 +116,7 @@
     private void begin(List<PartSend> parts) {
         FlightCall call = new FlightCall(shared, client, parts, () -> barred, this::over);
         parts.forEach(p -> out.put(p.attempt(), call));
+        watch();
         try {
             shared.readers().execute(call);
         } catch (RejectedExecutionException e) { // as many streams as may be read at once: it never left
@@ -145,7 +149,7 @@
         if (call == null) {
             return false;
         }
-        act(GIVE_UP, call.giveUp(attempt), text -> { });
+        act(GIVE_UP, call.giveUp(attempt), actDueUs(), text -> { });
         if (heardUs <= call.sentUs() && shared.nowUs() - call.sentUs() > FlightStores.SILENT_US) {
             channel.enterIdle(); // as on frames: what is new goes over a fresh connection, which fails soon or comes up
         }
@@ -155,7 +159,7 @@
 
     @Override
     public void probe(long probe) {
-        act(PROBE, "", text -> {
+        act(PROBE, "", actDueUs(), text -> {
             boolean failed = text == null;
             boolean bad = !failed && text.equals("bad");
             shared.events().accept(new Event.ProbeOver(probe,
@@ -164,9 +168,42 @@
         });
     }
 
+    private long actDueUs() {
+        return shared.nowUs() + shared.limits().connectTimeoutUs();
+    }
+
+    /** As on frames: a channel that is quiet is asked, and what is out there is lost if it says nothing. */
+    private void watch() {
+        if (watched || closed || out.isEmpty() || barred || state != ServerState.READY || !shared.limits().mayProbe()) {
+            return;
+        }
+        long quietUs = shared.limits().connectTimeoutUs() / FlightStores.QUIET_PART;
+        long sinceUs = Math.max(heardUs, out.values().stream().mapToLong(FlightCall::sentUs).min().orElseThrow());
+        long askedUs = shared.nowUs();
+        watched = true;
+        if (askedUs < sinceUs + quietUs) {
+            shared.vertx().setTimer(MicroClock.timerMs(askedUs, sinceUs + quietUs), t -> {
+                watched = false;
+                watch();
+            });
+            return;
+        }
+        shared.events().accept(new Event.Noted(Count.CONNECTIONS_CHECKED));
+        act(PROBE, "", askedUs + shared.limits().connectTimeoutUs() / FlightStores.ANSWER_PART, text -> {
+            watched = false;
+            if (text != null) {
+                heardUs = shared.nowUs();
+            } else if (heardUs < askedUs && !closed && !barred) {
+                shared.events().accept(new Event.Noted(Count.CONNECTIONS_SILENT));
+                channel.enterIdle(); // what is new goes over a fresh connection
+                Set.copyOf(out.values()).forEach(FlightCall::lost);
+            }
+            watch();
+        });
+    }
+
     /** One action, off the loop; {@code done} gets its first result back on it, or null where it failed. */
-    private void act(String type, String body, java.util.function.Consumer<String> done) {
-        long dueUs = shared.nowUs() + shared.limits().connectTimeoutUs();
+    private void act(String type, String body, long dueUs, Consumer<String> done) {
         try {
             shared.actions().execute(() -> {
                 String text = null;
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -33,6 +34,9 @@
     private static final int WRITE_QUEUE_BYTES = 512 * 1024;
     /** A wait of so long without a word is more than a busy store's. */
     private static final long SILENT_US = 1_000_000;
+    /** Of the time in which a connection comes up: quiet for the first part, it is asked, and answers within the second. */
+    private static final int QUIET_PART = 3;
+    private static final int ANSWER_PART = 2;
 
     /** A part that is out; {@code write} is done once its frame's last byte has left. */
     private record Out(long attempt, String partId, long sentUs, Future<Void> write) {
@@ -42,6 +46,8 @@
     }
 
     private final FrameTransport.Shared shared;
+    /** False where the store is to get nothing new, not even a check. */
+    private final BooleanSupplier mayCheck;
     private final Consumer<FrameConnection> onClosed;
     private final Map<String, Out> out = new LinkedHashMap<>();
     private final Set<String> abandoned = new LinkedHashSet<>();
@@ -51,6 +57,9 @@
     private final Deque<Long> probes = new ArrayDeque<>();
     private final Frames frames = new Frames();
     private NetSocket socket;
+    /** Checks that are not the decisions' own come back with this. */
+    private static final long CHECK = -1;
+    private boolean watched;
     private boolean closed;
     private boolean leaving;
     private boolean silent;
@@ -61,7 +70,8 @@
     private long usedUs;
     private long heardUs;
 
-    FrameConnection(FrameTransport.Shared shared, Consumer<FrameConnection> onClosed) {
+    FrameConnection(FrameTransport.Shared shared, BooleanSupplier mayCheck, Consumer<FrameConnection> onClosed) {
+        this.mayCheck = mayCheck;
         this.shared = shared;
         this.onClosed = onClosed;
         usedUs = now();
@@ -135,6 +145,52 @@
         Future<Void> write = socket.write(Frames.frame('m', CallText.of(parts, usedUs)));
         write.onSuccess(v -> shared.events.accept(new Event.TriesWritten(parts.size())));
         parts.forEach(p -> out.put(p.partId(), new Out(p.attempt(), p.partId(), usedUs, write)));
+        watch();
+    }
+
+    /**
+     * Guards against a connection that stays open while nothing crosses it any more: a store with much to do is as quiet,
+     * but answers a check beside its queue.
+     */
+    private void watch() {
+        if (watched || closed || out.isEmpty() || !mayCheck.getAsBoolean()) {
+            return;
+        }
+        long dueUs = Math.max(heardUs, out.values().iterator().next().sentUs())
+                + shared.limits().connectTimeoutUs() / QUIET_PART;
+        if (now() >= dueUs) {
+            check();
+            return;
+        }
+        watched = true;
+        at(dueUs, () -> {
+            watched = false;
+            watch();
+        });
+    }
+
+    private void check() {
+        watched = true;
+        long askedUs = now();
+        shared.events.accept(new Event.Noted(Count.CONNECTIONS_CHECKED));
+        probes.add(CHECK);
+        socket.write(Frames.frame('o', ""));
+        at(askedUs + shared.limits().connectTimeoutUs() / ANSWER_PART, () -> at(now(), () -> { // what came meanwhile is read first
+            watched = false;
+            if (heardUs >= askedUs) {
+                watch();
+                return;
+            }
+            if (closed) {
+                return;
+            }
+            shared.events.accept(new Event.Noted(Count.CONNECTIONS_SILENT));
+            close();
+        }));
+    }
+
+    private void at(long dueUs, Runnable task) {
+        shared.vertx.setTimer(MicroClock.timerMs(now(), dueUs), t -> task.run());
     }
 
     void probe(long id) {
@@ -216,6 +272,7 @@
         Outcome outcome = socket == null ? Outcome.CONNECT_FAILED : Outcome.RESET;
         probes.addAll(waitingProbes);
         waitingProbes.clear();
+        probes.removeIf(id -> id == CHECK);
         probes.forEach(id -> shared.events.accept(new Event.ProbeOver(id, outcome, new float[0])));
         probes.clear();
     }
@@ -291,7 +348,7 @@
             }
             case 'o', 'p' -> {
                 Long id = probes.poll();
-                if (id != null) {
+                if (id != null && id != CHECK) {
                     String text = frame.rest().toString();
                     boolean bad = text.equals("bad");
                     shared.events.accept(new Event.ProbeOver(id, bad ? Outcome.ERROR : Outcome.OK,
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
@@ -136,9 +136,13 @@
                 && shared.connections < shared.mostConnections.getAsInt();
     }
 
+    private boolean mayCheck() {
+        return state == ServerState.READY && !barred && shared.limits().mayProbe() && shared.limits().connectTimeoutUs() > 0;
+    }
+
     private FrameConnection open() {
         shared.events.accept(new Event.Noted(Count.CONNECTIONS_OPENED));
-        FrameConnection made = new FrameConnection(shared, closed -> {
+        FrameConnection made = new FrameConnection(shared, this::mayCheck, closed -> {
             shared.connections--;
             connections.remove(closed);
         });
--- a/src/test/java/dunlinhitch/dispatch/flight/FlightTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/flight/FlightTransportTest.java
@@ -97,6 +97,22 @@
         expect(3, Outcome.CONNECT_FAILED);
     }
 
+    /** As on frames: a busy store answers a check, one from which nothing comes has its parts counted as lost. */
+    @Test
+    void aQuietChannelIsAskedAndLeftOnlyIfItSaysNothing() throws Exception {
+        Transport transport = open(store.port());
+        store.script = part -> part.shard() == 0 ? Do.NOTHING : Do.GOOD;
+        onLoop(() -> transport.call(List.of(part(1, 0))));
+        for (int i = 0; i < 3; i++) {
+            assertTrue(store.checks.poll(5, TimeUnit.SECONDS) != null);
+        }
+        store.mute = true;
+        expect(1, Outcome.RESET);
+        store.mute = false;
+        onLoop(() -> transport.call(List.of(part(2, 1))));
+        expect(2, Outcome.OK);
+    }
+
     /** A machine that vanished leaves its connection open: what is new goes over another. */
     @Test
     void aConnectionThatStaysSilentGetsNothingNew() throws Exception {
--- a/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
@@ -92,6 +92,51 @@
         assertEquals(1, store.sockets.size());
     }
 
+    /**
+     * A store that is busy answers a check beside its queue, so its parts stay out; one from which nothing comes back any
+     * more has its connection closed, and what is new goes over another.
+     */
+    @Test
+    void aQuietConnectionIsAskedAndClosedOnlyIfItSaysNothing() throws Exception {
+        store.script = part -> part.shard() == 0 ? Do.NOTHING : Do.GOOD;
+        onLoop(() -> transport.call(List.of(part(1, 0))));
+        for (int i = 0; i < 3; i++) {
+            assertTrue(store.checks.poll(5, TimeUnit.SECONDS) != null);
+        }
+        assertEquals(0, ends.size());
+        store.mute = true;
+        Event.AttemptOver lost = next();
+        assertEquals(1, lost.attempt());
+        assertEquals(Outcome.RESET, lost.outcome());
+        store.mute = false;
+        onLoop(() -> transport.call(List.of(part(2, 1))));
+        assertEquals(Outcome.OK, next().outcome());
+        assertEquals(2, store.sockets.size());
+    }
+
+    /** A store that is out by hand or drains gets nothing new, not even a check; what waits for a connection is dropped. */
+    @Test
+    void aBarredStoreGetsNothingNew() throws Exception {
+        store.script = part -> Do.NOTHING;
+        onLoop(() -> transport.call(List.of(part(1, 0))));
+        assertTrue(store.seen.poll(5, TimeUnit.SECONDS) != null);
+        onLoop(() -> {
+            transport.barred(true);
+            transport.call(List.of(part(2, 1)));
+            transport.probe(1);
+        });
+        Event.AttemptOver barred = next();
+        assertEquals(2, barred.attempt());
+        assertEquals(Outcome.CONNECT_FAILED, barred.outcome());
+        int checks = store.checks.size();
+        onLoop(() -> {
+            transport.barred(false);
+            transport.call(List.of(part(3, 2)));
+        });
+        assertTrue(store.seen.poll(5, TimeUnit.SECONDS) != null);
+        assertTrue(checks <= 1 && store.probes.isEmpty() && store.seen.isEmpty(), "checks " + checks);
+    }
+
     /** What can not be read ends the connection: all that is out on it may have run. */
     @Test
     void aMalformedFrameIsAReset() throws Exception {
--- a/src/test/java/dunlinhitch/standin/FlightStore.java
+++ b/src/test/java/dunlinhitch/standin/FlightStore.java
@@ -67,7 +67,10 @@
             String body = new String(action.getBody(), StandardCharsets.UTF_8);
             if (action.getType().equals("give-up")) {
                 givenUp.add(body);
+            } else if (mute) {
+                return;
             } else {
+                checks.add(name);
                 probes.add(name);
                 listener.onNext(new Result("latency_ms=5,queue=0".getBytes(StandardCharsets.UTF_8)));
             }
--- a/src/test/java/dunlinhitch/standin/FrameStore.java
+++ b/src/test/java/dunlinhitch/standin/FrameStore.java
@@ -40,6 +40,11 @@
     private void frame(NetSocket socket, char letter, byte[] rest) {
         if (letter == 'n') {
             givenUp.add(new String(rest));
+        } else if (letter == 'o') {
+            checks.add(name);
+            if (!mute) {
+                socket.write(frame('o', "good"));
+            }
         } else if (letter == 'p') {
             probes.add(name);
             socket.write(frame('p', "latency_ms=5,queue=0"));
--- a/src/test/java/dunlinhitch/standin/Store.java
+++ b/src/test/java/dunlinhitch/standin/Store.java
@@ -40,6 +40,9 @@
     public final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
     public final BlockingQueue<String> givenUp = new LinkedBlockingQueue<>();
     public final BlockingQueue<String> probes = new LinkedBlockingQueue<>();
+    /** Checks that came; a mute store answers none. */
+    public final BlockingQueue<String> checks = new LinkedBlockingQueue<>();
+    public volatile boolean mute;
     public volatile Function<Seen, Do> script = part -> Do.GOOD;
 
     protected Store(String name) {
