The clients' listener stops at a bound: a start under a flood no longer loses its acceptor

At fault: Links counts on the loop, the acceptor accepts beside it; and a closed NIO channel keeps its descriptor until its selector lets go.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -18,7 +18,7 @@
 import dunlinhitch.intake.Front;
 import dunlinhitch.intake.QueryReader;
 import dunlinhitch.intake.flight.FlightFront;
-import dunlinhitch.intake.http.HandedListener;
+import dunlinhitch.intake.http.ClientListener;
 import dunlinhitch.intake.http.HttpFront;
 import dunlinhitch.roster.RosterReader;
 import dunlinhitch.roster.Source;
@@ -49,6 +49,8 @@
     private static final String BANS = "stores-out";
     /** Of the descriptors: clients with queries hold a third at most, and others are let in until it is half. */
     private static final int CLIENTS_PART = 2;
+    /** Accepted and not closed, when the loop is behind with what it lets in. */
+    private static final int MOST_OPEN_TWELFTHS = 7;
     /** Connections to stores; the last quarter is the program's own. */
     private static final int STORES_PART = 4;
     /** The same while two processes are one broker: the old one takes no more, and clients are a third of both. */
@@ -58,7 +60,7 @@
     private static final long OVERLAP_US = 6_000_000;
     private final Vertx vertx;
     private final Config config;
-    private final HandedListener handed;
+    private final boolean shared;
     private final Consumer<String> log;
     private final MicroClock clock = new MicroClock();
     private final long startUs = clock.getAsLong();
@@ -84,18 +86,19 @@
         this(vertx, context, config, log, null);
     }
 
-    /** The same; clients are accepted from {@code handed}, a socket that another process may accept from too. */
-    public Broker(Vertx vertx, Context context, Config config, Consumer<String> log, HandedListener handed) {
+    /** The same; clients are accepted from {@code listener}. */
+    public Broker(Vertx vertx, Context context, Config config, Consumer<String> log, ClientListener listener) {
         this.vertx = vertx;
         this.config = config;
-        this.handed = handed;
+        shared = listener != null && listener.isShared();
         this.log = log;
         reducer = new Reducer(config.settings(), config.seed(), startUs);
         loop = new Loop(vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(reducer::settings);
         http = new HttpFront(vertx, exchanges, queries, loop, clock, () -> config.sockets() / (reducer.siblingServes() ? SHARED_CLIENTS_PART : CLIENTS_PART), this::ready,
-                () -> reducer.counters().lines(), handed);
+                () -> reducer.counters().lines(), listener,
+                config.sockets() * MOST_OPEN_TWELFTHS / 12);
         admin = config.admin() == null ? null
                 : new AdminFront(vertx, this::ready, reducer::figures, loop, clock);
         bans = new BanFolder(vertx, config.scratch() == null ? null : config.scratch().resolve(BANS),
@@ -141,8 +144,8 @@
     public Future<Integer> start() {
         vertx.exceptionHandler(this::fault);
         roster.start();
-        return bans.start(handed != null).compose(before -> {
-            if (handed != null && before) { // the process that was here is asked to end only after this one is ready
+        return bans.start(shared).compose(before -> {
+            if (shared && before) { // the process that was here is asked to end only after this one is ready
                 loop.accept(new Event.SiblingServes(clock.getAsLong() + OVERLAP_US));
             }
             return http.listen(config.listen().host(), config.listen().port());
@@ -183,7 +186,7 @@
         long longestUs = Math.min(LONGEST_US, reducer.settings().classes().stream()
                 .mapToLong(kind -> kind.deadlineUs()).max().orElseThrow());
         loop.accept(new Event.EndNamed(now + GRACE_US + longestUs - ROOM_US));
-        if (handed != null) {
+        if (shared) {
             loop.accept(new Event.SiblingServes(Long.MAX_VALUE));
             http.leaveToSibling();
         }
--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -3,7 +3,7 @@
 import dunlinhitch.config.Config;
 import dunlinhitch.config.ConfigFile;
 import dunlinhitch.config.SettingsReader;
-import dunlinhitch.intake.http.HandedListener;
+import dunlinhitch.intake.http.ClientListener;
 import dunlinhitch.wire.WireHost;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Instant;
+import java.time.ZoneId;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -115,15 +116,16 @@
         public Integer call() throws InterruptedException {
             ConfigFile file = told.config();
             Config config = file.read();
-            HandedListener handed = handed();
-            Vertx vertx = oneLoop(handed == null ? Transport.NIO : handed);
+            ZoneId.systemDefault().getRules(); // the log asks for them, and can not read them once no descriptor is left
+            ClientListener listener = listener();
+            Vertx vertx = oneLoop(listener);
             Context context = vertx.getOrCreateContext();
             CountDownLatch started = new CountDownLatch(1);
             Throwable[] fault = {null};
             Broker[] broker = {null};
             context.runOnContext(v -> {
                 try {
-                    broker[0] = new Broker(vertx, context, config, System.out::println, handed);
+                    broker[0] = new Broker(vertx, context, config, System.out::println, listener);
                 } catch (RuntimeException | LinkageError e) {
                     fault[0] = e;
                     started.countDown();
@@ -153,17 +155,17 @@
             return 0;
         }
 
-        /** The clients' listening socket where the platform holds it, else null: then the broker makes its own. */
-        private static HandedListener handed() {
+        /** The clients' listening socket, the platform's where that holds one. */
+        private static ClientListener listener() {
             String descriptor = System.getenv("ROUTER_ACCEPT_FD");
             if (descriptor == null || descriptor.isEmpty()) {
-                return null;
+                return new ClientListener(null);
             }
             if (!descriptor.equals("0")) {
                 throw new Config.ConfigException("ROUTER_ACCEPT_FD is not 0: " + descriptor);
             }
             try {
-                return HandedListener.inherited();
+                return ClientListener.inherited();
             } catch (IOException e) {
                 throw new Config.ConfigException("ROUTER_ACCEPT_FD: " + e.getMessage());
             }
--- a/src/main/java/dunlinhitch/intake/http/HttpFront.java
+++ b/src/main/java/dunlinhitch/intake/http/HttpFront.java
@@ -41,15 +41,16 @@
     private final Supplier<String> stats;
     private final HttpServer server;
     private final Links links;
-    /** Where it accepts if the listening socket is shared with another process, else null. */
-    private final HandedListener handed;
+    /** Where it accepts, and how many at once; null: as any server. */
+    private final ClientListener listener;
+    private final int mostOpen;
     private long lookAfter;
     private boolean draining;
 
     /** {@code mostLinks}: connections that clients may hold at once. */
     public HttpFront(Vertx vertx, Exchanges exchanges, QueryReader reader, Consumer<Event> events,
             LongSupplier clock, IntSupplier mostLinks, BooleanSupplier ready, Supplier<String> stats,
-            HandedListener handed) {
+            ClientListener listener, int mostOpen) {
         this.vertx = vertx;
         this.exchanges = exchanges;
         this.reader = reader;
@@ -57,7 +58,8 @@
         this.clock = clock;
         this.ready = ready;
         this.stats = stats;
-        this.handed = handed;
+        this.listener = listener;
+        this.mostOpen = mostOpen;
         links = new Links(mostLinks, clock, events);
         HttpServerOptions options = new HttpServerOptions().setHttp2ClearTextEnabled(false).setAcceptBacklog(1024)
                 .setHandle100ContinueAutomatically(true).setPerFrameWebSocketCompressionSupported(false)
@@ -77,7 +79,8 @@
     @Override
     public Future<Integer> listen(String host, int port) {
         lookAfter = vertx.setPeriodic(LOOK_AFTER_MS, t -> links.closeOverdue());
-        return (handed == null ? server.listen(port, host) : handed.lend(() -> server.listen(port, host)))
+        return (listener == null ? server.listen(port, host)
+                : listener.lend(mostOpen, () -> server.listen(port, host)))
                 .map(HttpServer::actualPort);
     }
 
@@ -87,7 +90,7 @@
      */
     public void leaveToSibling() {
         draining = true;
-        handed.stopAccepting();
+        listener.stopAccepting();
     }
 
     /**
--- a/src/test/java/dunlinhitch/UpgradeTest.java
+++ b/src/test/java/dunlinhitch/UpgradeTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dunlinhitch.intake.http.HandedListener;
+import dunlinhitch.intake.http.ClientListener;
 import dunlinhitch.standin.Client;
 import dunlinhitch.standin.FrameStore;
 import dunlinhitch.standin.Stage;
@@ -20,7 +20,7 @@
 /** Two processes of one broker on one listening socket, the old one asked to end. */
 class UpgradeTest {
     private static Stage stage(ServerSocketChannel listener) throws Exception {
-        Stage stage = new Stage(new HandedListener(listener));
+        Stage stage = new Stage(new ClientListener(listener));
         stage.list(new FrameStore(stage.vertx, "a"), new FrameStore(stage.vertx, "b"));
         stage.start(Stage.settings(100), null);
         return stage;
--- a/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -51,6 +52,41 @@
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
 
+    /**
+     * Guards against a process without a descriptor left: connections are accepted on a thread of their own, while the
+     * loop that would close what is too many is behind.
+     */
+    @Test
+    void noMoreIsAcceptedThanTheBoundWhileTheLoopIsBehind() throws Exception {
+        CountDownLatch behind = new CountDownLatch(1);
+        CountDownLatch caught = new CountDownLatch(1);
+        stage.vertx.runOnContext(v -> {
+            behind.countDown();
+            try {
+                caught.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        behind.await();
+        List<Socket> many = new ArrayList<>();
+        int most = stage.sockets * 7 / 12;
+        for (int i = 0; i < 2 * stage.sockets; i++) {
+            many.add(new Socket("127.0.0.1", stage.httpPort));
+        }
+        long endMs = System.currentTimeMillis() + 5_000;
+        while (stage.listener.open() < most && System.currentTimeMillis() < endMs) {
+            Thread.onSpinWait();
+        }
+        assertEquals(most, stage.listener.open());
+        caught.countDown();
+        assertEquals(200, status("GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"));
+        assertTrue(stage.listener.open() <= most);
+        for (Socket socket : many) {
+            socket.close();
+        }
+    }
+
     /** A body framed in two ways may hide a second request: neither is passed on, and nothing more is read. */
     @Test
     void whatHidesBehindABodyFramedInTwoWaysIsNotRead() throws IOException {
--- a/src/test/java/dunlinhitch/standin/Stage.java
+++ b/src/test/java/dunlinhitch/standin/Stage.java
@@ -7,11 +7,10 @@
 import dunlinhitch.decide.Routing;
 import dunlinhitch.decide.Routing.Repeat;
 import dunlinhitch.decide.Routing.ReportField;
-import dunlinhitch.intake.http.HandedListener;
+import dunlinhitch.intake.http.ClientListener;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import io.vertx.core.transport.Transport;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -21,7 +20,7 @@
 public final class Stage {
     public final Vertx vertx;
     public final Discovery discovery;
-    private final HandedListener handed;
+    public final ClientListener listener;
     public Broker broker;
     public int httpPort;
     public volatile int adminPort;
@@ -32,13 +31,13 @@
 
     /** The peers share the broker's loop: a broker that blocked it would get no answer at all. */
     public Stage() throws Exception {
-        this(null);
+        this(new ClientListener(null));
     }
 
     /** The broker accepts from that socket. */
-    public Stage(HandedListener handed) throws Exception {
-        this.handed = handed;
-        vertx = Vertx.builder().withTransport(handed == null ? Transport.NIO : handed)
+    public Stage(ClientListener listener) throws Exception {
+        this.listener = listener;
+        vertx = Vertx.builder().withTransport(listener)
                 .with(new VertxOptions().setEventLoopPoolSize(1)).build();
         discovery = new Discovery(vertx);
     }
@@ -66,7 +65,7 @@
         CompletableFuture<Integer> port = new CompletableFuture<>();
         context.runOnContext(v -> {
             try {
-                broker = new Broker(vertx, context, config, line -> { }, handed);
+                broker = new Broker(vertx, context, config, line -> { }, listener);
                 broker.openDesk().onSuccess(desk -> adminPort = desk).compose(desk -> broker.start()).onSuccess(port::complete).onFailure(port::completeExceptionally);
             } catch (RuntimeException | Error e) {
                 port.completeExceptionally(e);
