--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -144,7 +144,10 @@
     public Future<Integer> start() {
         vertx.exceptionHandler(this::fault);
         roster.start();
-        return bans.start(shared).compose(before -> {
+        return bans.start(shared).recover(e -> { // better to serve without it: calls that could not be kept are told so
+            log.accept("stores out by hand can not be kept: " + e);
+            return Future.succeededFuture(false);
+        }).compose(before -> {
             if (shared && before) { // the process that was here is asked to end only after this one is ready
                 loop.accept(new Event.SiblingServes(clock.getAsLong() + OVERLAP_US));
             }
--- a/src/main/java/dunlinhitch/config/Config.java
+++ b/src/main/java/dunlinhitch/config/Config.java
@@ -76,7 +76,7 @@
                     known == null || known.isNull() ? Json.object() : known.asObject(),
                     sockets(root.get("limits")),
                     SettingsReader.read(settings.asObject()), fronts,
-                    env.containsKey(SCRATCH) ? Path.of(env.get(SCRATCH)) : null);
+                    env.getOrDefault(SCRATCH, "").isEmpty() ? null : Path.of(env.get(SCRATCH)));
         } catch (ConfigException e) {
             throw new ConfigException(file + ": " + e.getMessage());
         } catch (RuntimeException e) {
--- a/src/test/java/dunlinhitch/AdminTest.java
+++ b/src/test/java/dunlinhitch/AdminTest.java
@@ -151,6 +151,18 @@
         assertEquals(4, told.size(), "own changes are no news: " + told);
     }
 
+    /** A folder that can not be written must not keep the broker from serving; the call is owed a no, for the ban is not kept. */
+    @Test
+    void aBanThatCanNotBeKeptIsNoYes() throws Exception {
+        stage.scratch = Files.createFile(dir.resolve("no-folder"));
+        FrameStore store = new FrameStore(stage.vertx, "s");
+        stage.list(store);
+        stage.start(Stage.settings(100), null);
+        assertEquals("whole", Client.http(stage.httpPort).ask("free-search", Map.of("X-Trace-Id", "q",
+                "X-Expires-In", "1.0"), Client.body(0)).get(5, TimeUnit.SECONDS).end());
+        disable("s", true, 500);
+    }
+
     private static void untilTold(List<String> told, String what) {
         long endMs = System.currentTimeMillis() + 5_000;
         while (!told.contains(what) && System.currentTimeMillis() < endMs) {
