Rehearsal with replicas and re-sends; a shared listener keeps to a third of the descriptors

An old process does not know of the new one until SIGTERM, so with a shared listener the bounds now hold from the start.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -53,9 +53,13 @@
     private static final int MOST_OPEN_TWELFTHS = 7;
     /** Connections to stores; the last quarter is the program's own. */
     private static final int STORES_PART = 4;
-    /** The same while two processes are one broker: the old one takes no more, and clients are a third of both. */
+    /**
+     * Where two processes may be one broker their descriptors are counted together, and an old one is not told that a new
+     * one has started until it is asked to end: so each keeps to this from the start.
+     */
     private static final int SHARED_CLIENTS_PART = 3;
-    private static final int SHARED_STORES_PART = 6;
+    private static final int SHARED_STORES_PART = 8;
+    private static final int SHARED_OPEN_TWELFTHS = 4;
     /** From its first second on a new process has the old one beside it for so long. */
     private static final long OVERLAP_US = 6_000_000;
     private final Vertx vertx;
@@ -96,16 +100,16 @@
         loop = new Loop(vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(reducer::settings);
-        http = new HttpFront(vertx, exchanges, queries, loop, clock, () -> config.sockets() / (reducer.siblingServes() ? SHARED_CLIENTS_PART : CLIENTS_PART), this::ready,
+        http = new HttpFront(vertx, exchanges, queries, loop, clock, () -> config.sockets() / (shared ? SHARED_CLIENTS_PART : CLIENTS_PART), this::ready,
                 () -> reducer.counters().lines(), listener,
-                config.sockets() * MOST_OPEN_TWELFTHS / 12);
+                config.sockets() * (shared ? SHARED_OPEN_TWELFTHS : MOST_OPEN_TWELFTHS) / 12);
         admin = config.admin() == null ? null
                 : new AdminFront(vertx, this::ready, reducer::figures, loop, clock);
         bans = new BanFolder(vertx, config.scratch() == null ? null : config.scratch().resolve(BANS),
                 (out, back) -> loop.accept(new Event.BarsSeen(out, back)));
         Reports reports = new Reports(() -> reducer.settings().reportFields());
         FrameTransport.Shared frames =
-                new FrameTransport.Shared(vertx, () -> reducer.settings().limits(), () -> config.sockets() / (reducer.siblingServes() ? SHARED_STORES_PART : STORES_PART), reports,
+                new FrameTransport.Shared(vertx, () -> reducer.settings().limits(), () -> config.sockets() / (shared ? SHARED_STORES_PART : STORES_PART), reports,
                         clock, loop);
         // no class of Arrow is loaded unless this front is on or a store speaks Flight
         flight = config.fronts().flight() == null ? null
--- a/src/main/java/dunlinhitch/Rehearsal.java
+++ b/src/main/java/dunlinhitch/Rehearsal.java
@@ -32,6 +32,11 @@
     private static final long LEAST_US = 500_000;
     /** The text of a part ends a line, so that a call is a line for each part and an empty one behind it. */
     private static final String TEXT = "\n";
+    /** As in service: replicas to choose from, and now and then a part that is sent again. */
+    private static final int STORES_A_CELL = 2;
+    private static final int TURNED_AWAY = 20;
+    private static final int FAILED = 33;
+    private static final int PRICE_US = 1000;
     private final Vertx vertx;
     private final Context context;
     private final Routing.Settings settings;
@@ -41,6 +46,7 @@
     private final long dueUs;
     private final int toServe;
     private int asked;
+    private int replies;
     private int served;
 
     /** {@code host}: where it listens, on ports of its own and for its time only; {@code endUs}: when, by the system's clock, it is better cut short. */
@@ -59,7 +65,7 @@
         int parts = Math.max(1, Math.min(MOST_PARTS, shards));
         JsonArray ranges = new JsonArray();
         for (int shard = 0; shard < parts; shard++) {
-            ranges.add(Json.object().add("range", shard).add("portion", 1.0 / parts));
+            ranges.add(Json.object().add("range", shard).add("portion", 1.0 / parts).add("price", PRICE_US));
         }
         return Json.object().add("ranges", ranges).add("predicate", TEXT).toString();
     }
@@ -145,15 +151,17 @@
         }
 
         private void reply(String line) {
-            byte[] text = ("q" + line.substring(0, line.indexOf(' ')) + " good 1 latency_ms=1,queue=0\nvalue")
+            String end = ++replies % TURNED_AWAY == 0 ? "later" : replies % FAILED == 0 ? "bad" : "good";
+            byte[] text = ("q" + line.substring(0, line.indexOf(' ')) + " " + end + " 1 latency_ms=1,queue=0\nvalue")
                     .getBytes(StandardCharsets.UTF_8);
             socket.write(Buffer.buffer().appendUnsignedIntLE(text.length).appendBytes(text));
         }
 
         private String list() {
             JsonArray stores = new JsonArray();
-            for (int cell = 0; cell < settings.layout().cells(); cell++) {
-                stores.add(new JsonObject().add("instanceId", "s" + cell).add("hostPort", host + ":"
+            for (int store = 0; store < STORES_A_CELL * settings.layout().cells(); store++) {
+                int cell = store % settings.layout().cells();
+                stores.add(new JsonObject().add("instanceId", "s" + store).add("hostPort", host + ":"
                         + server.actualPort()).add("zone", settings.zones().isEmpty() ? "" : settings.zones().get(0)).add("cell", cell)
                         .add("lifecycle", "ready"));
             }
