--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -100,7 +100,8 @@
         loop = new Loop(vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(reducer::settings);
-        http = new HttpFront(vertx, exchanges, queries, loop, clock, () -> config.sockets() / (shared ? SHARED_CLIENTS_PART : CLIENTS_PART), this::ready,
+        http = new HttpFront(vertx, exchanges, queries, loop, clock,
+                () -> config.sockets() / (shared ? SHARED_CLIENTS_PART : CLIENTS_PART), this::ready,
                 () -> reducer.counters().lines(), listener,
                 config.sockets() * (shared ? SHARED_OPEN_TWELFTHS : MOST_OPEN_TWELFTHS) / 12);
         admin = config.admin() == null ? null
@@ -109,7 +110,8 @@
                 (out, back) -> loop.accept(new Event.BarsSeen(out, back)));
         Reports reports = new Reports(() -> reducer.settings().reportFields());
         FrameTransport.Shared frames =
-                new FrameTransport.Shared(vertx, () -> reducer.settings().limits(), () -> config.sockets() / (shared ? SHARED_STORES_PART : STORES_PART), reports,
+                new FrameTransport.Shared(vertx, () -> reducer.settings().limits(),
+                        () -> config.sockets() / (shared ? SHARED_STORES_PART : STORES_PART), reports,
                         clock, loop);
         // no class of Arrow is loaded unless this front is on or a store speaks Flight
         flight = config.fronts().flight() == null ? null
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -75,11 +75,6 @@
         return settings;
     }
 
-    /** True while another process of this broker serves too: limits hold for both together. */
-    public boolean siblingServes() {
-        return now < siblingUs;
-    }
-
     /** What operators are told. */
     public Figures figures() {
         List<StoreRow> listed = tables.stores.values().stream().filter(row -> row.state() != ServerState.GONE).toList();
@@ -226,7 +221,7 @@
     /** What all brokers may do together is shared by one more while two processes are this one. */
     private void share(long untilUs) {
         if (untilUs == siblingUs) {
-            tell(new Routing.Retuned(siblingServes() ? settings.amongAggregators(2 * settings.aggregators()) : settings));
+            tell(new Routing.Retuned(now < siblingUs ? settings.amongAggregators(2 * settings.aggregators()) : settings));
         }
     }
 
