Membership: claims of any number of sources become one roster with reasons

Cause: a new roster was a full list swapped in; nothing knew why a store went or whether what came back is the same process, contradictions were not noticed, and a second source could not be added.

Change: module membership (pure) with a timing wheel for lifetimes; the reducer's stage RosterStage carries its changes to tables, edges and decisions, and the platform's watch goes through it, taken at its word.

The properties found that a withdrawal on one side of a dispute ended the other side too; a withdrawal now ends only what it had said itself.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -8,7 +8,7 @@
 import dunlinhitch.core.Event;
 import dunlinhitch.core.MicroClock;
 import dunlinhitch.core.Reducer;
-import dunlinhitch.core.StoreEntry;
+import dunlinhitch.membership.StoreEntry;
 import dunlinhitch.dispatch.Reports;
 import dunlinhitch.dispatch.Stores;
 import dunlinhitch.dispatch.Transport;
--- a/src/main/java/dunlinhitch/core/Effect.java
+++ b/src/main/java/dunlinhitch/core/Effect.java
@@ -1,5 +1,6 @@
 package dunlinhitch.core;
 
+import dunlinhitch.membership.StoreEntry;
 import java.util.List;
 
 /** Reading or writing that the {@link Reducer} asks of an edge. */
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -3,6 +3,8 @@
 import dunlinhitch.decide.Routing.ListKind;
 import dunlinhitch.decide.Routing.Outcome;
 import dunlinhitch.decide.Routing.Settings;
+import dunlinhitch.membership.Claim;
+import dunlinhitch.membership.StoreEntry;
 import java.util.List;
 import java.util.Set;
 
@@ -41,6 +43,21 @@
         }
     }
 
+    /** A source of stores beside discovery is there, with its standing among those that disagree. */
+    record SourceNamed(String source, int rank) implements Event {
+    }
+
+    /** Such a source says something: all that it has to say ({@code whole}), or some of it. */
+    record SourceSaid(String source, boolean whole, List<Claim> claims) implements Event {
+        public SourceSaid {
+            claims = List.copyOf(claims);
+        }
+    }
+
+    /** Such a source does not answer. */
+    record SourceSilent(String source) implements Event {
+    }
+
     /** The configuration names discovery's address: at the start. */
     record DiscoveryNamed(String host, int port) implements Event {
     }
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -7,20 +7,19 @@
 import dunlinhitch.core.Tables.StoreRow;
 import dunlinhitch.decide.Policy;
 import dunlinhitch.decide.Routing;
-import dunlinhitch.decide.Routing.ListKind;
 import dunlinhitch.decide.Routing.Outcome;
 import dunlinhitch.decide.Routing.QueryClass;
 import dunlinhitch.decide.Routing.Repeat;
 import dunlinhitch.decide.Routing.ServerState;
 import dunlinhitch.decide.Routing.Settings;
+import dunlinhitch.membership.Membership;
+import dunlinhitch.membership.MembershipSettings;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 
 /**
  * Takes every change of a broker's state, a turn at a time: events in, effects out, no reading or writing of its own.
@@ -41,6 +40,7 @@
     private final Tables tables = new Tables();
     private final Counters counters = new Counters();
     private final Tallies tallies = new Tallies();
+    private final RosterStage roster;
     private final PriorityQueue<Due> dues =
             new PriorityQueue<>(Comparator.comparingLong(Due::atUs).thenComparingLong(Due::order));
     private final List<Routing.Event> owed = new ArrayList<>();
@@ -51,7 +51,6 @@
     private int lastNumber;
     private long lastAttempt;
     private long lastProbe;
-    private int lastStore;
     private Event.DiscoveryNamed discovery;
     private long siblingUs;
     private long endUs = Long.MAX_VALUE;
@@ -59,8 +58,14 @@
     private boolean finished;
 
     public Reducer(Settings settings, long seed, long nowUs) {
+        this(settings, null, seed, nowUs);
+    }
+
+    /** {@code membership} null: the defaults for the layout. */
+    public Reducer(Settings settings, MembershipSettings membership, long seed, long nowUs) {
         this.settings = settings;
         now = nowUs;
+        roster = new RosterStage(settings, membership, nowUs, tables, counters, effect -> effects.add(effect), this::tell);
         settings.classes().forEach(kind -> tallies.known(kind.name()));
         policy = new Policy(settings, seed, new Acts());
         policy.on(now, new Routing.Start());
@@ -79,11 +84,16 @@
     public Figures figures() {
         List<StoreRow> listed = tables.stores.values().stream().filter(row -> row.state() != ServerState.GONE).toList();
         int skipped = (int) listed.stream()
-                .filter(row -> row.state() == ServerState.DRAINING || isBarred(row)).count();
+                .filter(row -> row.state() != ServerState.READY || isBarred(row)).count();
         return new Figures(tallies.list(), counters.get(Count.ATTEMPTS_WRITTEN), open(), listed.size(), skipped,
                 counters.get(Count.CONFIGURATIONS_TAKEN), counters.get(Count.BAD_CONFIGURATIONS));
     }
 
+    /** Which stores there are, and why; for those who show or keep it. */
+    public Membership membership() {
+        return roster.membership();
+    }
+
     /** Queries that still wait for their answer. */
     public int open() {
         return tables.queries.size();
@@ -98,10 +108,14 @@
         List<Routing.Event> ended = List.copyOf(owed);
         owed.clear();
         ended.forEach(this::tell);
+        if (roster.nextUs() <= now) {
+            roster.passed(now);
+        }
         events.forEach(this::take);
         ringDue();
         flushCalls();
         long next = owed.isEmpty() ? Long.MAX_VALUE : now + settings.tickUs();
+        next = Math.min(next, roster.nextUs());
         next = dues.isEmpty() ? next : Math.min(next, dues.peek().atUs());
         if (next < Long.MAX_VALUE) {
             effects.add(new Effect.WakeAt(next));
@@ -130,7 +144,13 @@
         } else if (event instanceof Event.ProbeOver e) {
             probeOver(e.probe(), e.outcome(), e.report());
         } else if (event instanceof Event.RosterNews e) {
-            rosterNews(e);
+            roster.news(now, e);
+        } else if (event instanceof Event.SourceNamed e) {
+            roster.named(e);
+        } else if (event instanceof Event.SourceSaid e) {
+            roster.said(now, e);
+        } else if (event instanceof Event.SourceSilent e) {
+            roster.silent(now, e);
         } else if (event instanceof Event.DiscoveryNamed e) {
             discoveryNamed(e);
         } else if (event instanceof Event.BarAsked e) {
@@ -313,8 +333,8 @@
         if (part.out > 0 && !settings.limits().parallelTries()) {
             return "another attempt is out";
         }
-        if (store == null || store.state() == ServerState.GONE || store.state() == ServerState.DRAINING
-                && now >= store.toldUs + settings.rules().drainGraceUs()) {
+        if (store == null || store.state() == ServerState.GONE || store.state() == ServerState.WITHDRAWN
+                || store.state() == ServerState.DRAINING && now >= store.toldUs + settings.rules().drainGraceUs()) {
             return "the store takes nothing new";
         }
         if (isBarred(store)) {
@@ -394,46 +414,6 @@
 
     // ---- stores
 
-    private void rosterNews(Event.RosterNews e) {
-        counters.add(Count.ROSTER_NEWS);
-        List<Routing.ServerEntry> told = new ArrayList<>();
-        Set<String> listed = new HashSet<>();
-        for (StoreEntry entry : e.stores()) {
-            listed.add(entry.name());
-            StoreRow row = tables.byName.get(entry.name());
-            if (row == null && entry.state() == ServerState.GONE) {
-                continue;
-            }
-            if (row == null) {
-                Integer kept = tables.barred.get(entry.name());
-                row = new StoreRow(kept == null ? ++lastStore : kept, entry);
-                tables.stores.put(row.number, row);
-                tables.byName.put(entry.name(), row);
-                row.toldUs = now;
-            }
-            change(row, entry);
-            told.add(new Routing.ServerEntry(row.number, entry.zone(), entry.cell(), entry.state(), entry.weight(),
-                    entry.startedUs()));
-        }
-        if (e.kind() != ListKind.DELTA) {
-            for (StoreRow row : tables.stores.values()) {
-                if (!listed.contains(row.entry.name())) {
-                    StoreEntry old = row.entry;
-                    change(row, new StoreEntry(old.name(), old.host(), old.port(), old.zone(), old.cell(),
-                            ServerState.GONE, old.weight(), old.startedUs(), old.wire()));
-                }
-            }
-        }
-        tell(new Routing.ServerList(e.kind(), told));
-        tables.stores.values().removeIf(row -> {
-            boolean done = row.state() == ServerState.GONE && row.out == 0;
-            if (done) {
-                tables.byName.remove(row.entry.name());
-            }
-            return done;
-        });
-    }
-
     private boolean isBarred(StoreRow row) {
         return tables.barred.containsKey(row.entry.name());
     }
@@ -455,7 +435,7 @@
             return;
         }
         StoreRow row = tables.byName.get(name);
-        int number = out ? row == null ? ++lastStore : row.number : tables.barred.get(name);
+        int number = out ? row == null ? roster.newNumber() : row.number : tables.barred.get(name);
         if (out) {
             tables.barred.put(name, number);
             List<Effect.PartSend> unsent = calls.remove(number);
@@ -480,17 +460,6 @@
         }
     }
 
-    private void change(StoreRow row, StoreEntry entry) {
-        boolean same = row.entry.equals(entry) && row.toldUs != now;
-        if (row.state() != entry.state()) {
-            row.toldUs = now;
-        }
-        row.entry = entry;
-        if (!same) {
-            effects.add(new Effect.StoreChanged(row.number, entry, isBarred(row)));
-        }
-    }
-
     /** What the decisions ask for, as rows and effects. */
     private final class Acts implements Routing.Actions {
         @Override
--- /dev/null
+++ b/src/main/java/dunlinhitch/core/RosterStage.java
@@ -0,0 +1,156 @@
+package dunlinhitch.core;
+
+import dunlinhitch.core.Tables.StoreRow;
+import dunlinhitch.decide.Routing;
+import dunlinhitch.decide.Routing.ListKind;
+import dunlinhitch.decide.Routing.ServerState;
+import dunlinhitch.membership.Change;
+import dunlinhitch.membership.Claim;
+import dunlinhitch.membership.Membership;
+import dunlinhitch.membership.MembershipSettings;
+import dunlinhitch.membership.Status;
+import dunlinhitch.membership.StoreEntry;
+import dunlinhitch.membership.TimingWheel;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * The reducer's stage between the sources of stores and the decisions: what {@link Membership} makes of the claims
+ * becomes rows of the tables, effects for the edges and one event for the decisions.
+ */
+final class RosterStage {
+    /** The platform's list: its word is taken as it is. */
+    static final String DISCOVERY = "discovery";
+    private static final int RANK = 0;
+    private final Membership membership;
+    private final Tables tables;
+    private final Counters counters;
+    private final Consumer<Effect> effects;
+    private final Consumer<Routing.Event> decisions;
+    /** Rows that are gone but still have something out. */
+    private final Set<StoreRow> leaving = new HashSet<>();
+    private int lastStore;
+
+    RosterStage(Routing.Settings settings, MembershipSettings membership, long nowUs, Tables tables, Counters counters,
+            Consumer<Effect> effects, Consumer<Routing.Event> decisions) {
+        this.membership = new Membership(membership == null
+                ? MembershipSettings.of(settings.layout().cells(), settings.layout().inARow()) : membership, nowUs);
+        this.membership.named(DISCOVERY, RANK, true);
+        this.tables = tables;
+        this.counters = counters;
+        this.effects = effects;
+        this.decisions = decisions;
+    }
+
+    Membership membership() {
+        return membership;
+    }
+
+    int newNumber() {
+        return ++lastStore;
+    }
+
+    /** The platform's list, or changes of it. */
+    void news(long now, Event.RosterNews e) {
+        counters.add(Count.ROSTER_NEWS);
+        List<Claim> claims = e.stores().stream()
+                .map(entry -> new Claim(entry.name(), entry, now, TimingWheel.NEVER)).toList();
+        apply(now, membership.said(now, DISCOVERY, e.kind() != ListKind.DELTA, claims));
+    }
+
+    void named(Event.SourceNamed e) {
+        membership.named(e.source(), e.rank(), false);
+    }
+
+    void said(long now, Event.SourceSaid e) {
+        counters.add(Count.ROSTER_NEWS);
+        long refused = membership.refused();
+        apply(now, membership.said(now, e.source(), e.whole(), e.claims()));
+        counters.add(Count.MEMBERS_REFUSED, membership.refused() - refused);
+    }
+
+    void silent(long now, Event.SourceSilent e) {
+        counters.add(Count.ROSTER_LOST);
+        List<Change> changes = membership.silent(now, e.source());
+        if (!changes.isEmpty()) {
+            apply(now, changes);
+        }
+    }
+
+    void passed(long now) {
+        List<Change> changes = membership.passed(now);
+        if (!changes.isEmpty()) {
+            apply(now, changes);
+        }
+    }
+
+    /** When {@link #passed} is wanted, at the latest. */
+    long nextUs() {
+        return membership.nextUs();
+    }
+
+    private void apply(long now, List<Change> changes) {
+        List<Routing.ServerEntry> told = new ArrayList<>(changes.size());
+        for (Change change : changes) {
+            if (change.announced()) {
+                note(change);
+            }
+            StoreEntry entry = change.entry();
+            StoreRow row = tables.byName.get(entry.name());
+            if (!change.told() || row == null && entry.state() == ServerState.GONE) {
+                continue;
+            }
+            if (row == null) {
+                Integer kept = tables.barred.get(entry.name());
+                row = new StoreRow(kept == null ? ++lastStore : kept, entry);
+                tables.stores.put(row.number, row);
+                tables.byName.put(entry.name(), row);
+                row.toldUs = now;
+            }
+            if (row.state() != entry.state()) {
+                row.toldUs = now;
+            }
+            row.entry = entry;
+            if (entry.state() == ServerState.GONE) {
+                leaving.add(row);
+            } else {
+                leaving.remove(row);
+            }
+            effects.accept(new Effect.StoreChanged(row.number, entry, tables.barred.containsKey(entry.name())));
+            told.add(new Routing.ServerEntry(row.number, entry.zone(), entry.cell(), entry.state(), entry.weight(),
+                    entry.startedUs()));
+        }
+        decisions.accept(new Routing.ServerList(ListKind.DELTA, told));
+        leaving.removeIf(row -> {
+            if (row.out == 0) {
+                tables.stores.remove(row.number, row);
+                tables.byName.remove(row.entry.name(), row);
+            }
+            return row.out == 0;
+        });
+    }
+
+    private void note(Change change) {
+        Count what = switch (change.status()) {
+            case ANNOUNCED -> Count.MEMBERS_HELD_BACK;
+            case LIVE, DRAINING -> null;
+            case STALE -> Count.MEMBERS_STALE;
+            case DISPUTED -> Count.MEMBERS_DISPUTED;
+            case STANDING_IN -> Count.MEMBERS_STANDING_IN;
+            case WITHDRAWN -> Count.MEMBERS_WITHDRAWN;
+            case GONE -> Count.MEMBERS_GONE;
+        };
+        if (what != null) {
+            counters.add(what);
+        }
+        StoreEntry entry = change.entry();
+        boolean placed = change.status() != Status.WITHDRAWN && change.status() != Status.GONE;
+        effects.accept(new Effect.Log("store " + entry.name() + " is "
+                + change.status().name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ') + ": "
+                + change.reason().words() + (placed ? " (" + entry.host() + ":" + entry.port() + ", cell " + entry.cell()
+                + ")" : "")));
+    }
+}
--- a/src/main/java/dunlinhitch/core/Tables.java
+++ b/src/main/java/dunlinhitch/core/Tables.java
@@ -1,6 +1,7 @@
 package dunlinhitch.core;
 
 import dunlinhitch.decide.Routing.ServerState;
+import dunlinhitch.membership.StoreEntry;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
--- a/src/main/java/dunlinhitch/decide/Routing.java
+++ b/src/main/java/dunlinhitch/decide/Routing.java
@@ -32,8 +32,11 @@
     /** Values a load report may hold, in the order of {@link Settings#reportFields}. */
     public enum ReportField { OUTSTANDING, BACKLOG, UTILIZATION, RECENT_MS, THROUGHPUT, ERRORS, OTHER }
 
-    /** State of a server in the list. */
-    public enum ServerState { READY, DRAINING, GONE }
+    /**
+     * State of a server in the list. WITHDRAWN: it gets nothing new from this moment on, not even as the last of its
+     * shard, and what was learnt of it is kept, for it may come back as the same process.
+     */
+    public enum ServerState { READY, DRAINING, GONE, WITHDRAWN }
 
     /** DELTA changes a list, FULL and CACHED replace it (CACHED may be old), FAILED says a request failed. */
     public enum ListKind { DELTA, FULL, CACHED, FAILED }
--- a/src/main/java/dunlinhitch/dispatch/Stores.java
+++ b/src/main/java/dunlinhitch/dispatch/Stores.java
@@ -2,7 +2,7 @@
 
 import dunlinhitch.core.Effect;
 import dunlinhitch.core.Event;
-import dunlinhitch.core.StoreEntry;
+import dunlinhitch.membership.StoreEntry;
 import dunlinhitch.decide.Routing.Outcome;
 import dunlinhitch.decide.Routing.ServerState;
 import java.util.ArrayList;
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightStores.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightStores.java
@@ -1,7 +1,7 @@
 package dunlinhitch.dispatch.flight;
 
 import dunlinhitch.core.Event;
-import dunlinhitch.core.StoreEntry;
+import dunlinhitch.membership.StoreEntry;
 import dunlinhitch.decide.Routing.Limits;
 import dunlinhitch.dispatch.Reports;
 import dunlinhitch.dispatch.Transport;
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
@@ -4,7 +4,7 @@
 import dunlinhitch.core.Effect.PartSend;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.MicroClock;
-import dunlinhitch.core.StoreEntry;
+import dunlinhitch.membership.StoreEntry;
 import dunlinhitch.decide.Routing.Outcome;
 import dunlinhitch.decide.Routing.ServerState;
 import dunlinhitch.dispatch.CallText;
@@ -44,7 +44,7 @@
     private final FlightClient client;
     private final Map<Long, FlightCall> out = new HashMap<>();
     private final List<List<PartSend>> waiting = new ArrayList<>();
-    private ServerState state = ServerState.READY;
+    private volatile ServerState state = ServerState.READY;
     private long connectRound;
     /** When the store last said anything of a part. */
     private long heardUs;
@@ -69,7 +69,8 @@
     @Override
     public void call(List<PartSend> parts) {
         boolean up = channel.getState(false) == ConnectivityState.READY;
-        boolean mayNot = closed || barred || state == ServerState.GONE || state == ServerState.DRAINING && !up
+        boolean mayNot = closed || barred || state == ServerState.GONE || state == ServerState.WITHDRAWN
+                || state == ServerState.DRAINING && !up
                 || out.size() + parts.size() > FlightStores.MOST_OUT;
         if (mayNot) {
             parts.forEach(p -> over(p.attempt(), Outcome.CONNECT_FAILED));
@@ -114,7 +115,7 @@
     }
 
     private void begin(List<PartSend> parts) {
-        FlightCall call = new FlightCall(shared, client, parts, () -> barred, this::over);
+        FlightCall call = new FlightCall(shared, client, parts, () -> barred || state == ServerState.WITHDRAWN, this::over);
         parts.forEach(p -> out.put(p.attempt(), call));
         watch();
         try {
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
@@ -4,7 +4,7 @@
 import dunlinhitch.core.Effect.PartSend;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.MicroClock;
-import dunlinhitch.core.StoreEntry;
+import dunlinhitch.membership.StoreEntry;
 import dunlinhitch.decide.Routing.Limits;
 import dunlinhitch.decide.Routing.Outcome;
 import dunlinhitch.decide.Routing.ServerState;
@@ -85,7 +85,7 @@
     public void call(List<PartSend> parts) {
         Set<String> ids = parts.stream().map(PartSend::partId).collect(Collectors.toSet());
         FrameConnection best = null;
-        if (state != ServerState.GONE && !barred) {
+        if (state != ServerState.GONE && state != ServerState.WITHDRAWN && !barred) {
             for (FrameConnection c : List.copyOf(connections)) {
                 // one that is still to come up would take the call past the word that the store drains
                 boolean fits = c.takes(parts.size(), ids) && (state == ServerState.READY || c.isOpen());
--- a/src/main/java/dunlinhitch/roster/dnssd/DnsSd.java
+++ b/src/main/java/dunlinhitch/roster/dnssd/DnsSd.java
@@ -3,7 +3,7 @@
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.MicroClock;
-import dunlinhitch.core.StoreEntry;
+import dunlinhitch.membership.StoreEntry;
 import dunlinhitch.decide.Routing.ListKind;
 import dunlinhitch.roster.RosterReader;
 import dunlinhitch.roster.Source;
--- a/src/test/java/dunlinhitch/PackagesTest.java
+++ b/src/test/java/dunlinhitch/PackagesTest.java
@@ -20,12 +20,14 @@
     private static final Pattern IMPORT = Pattern.compile("^import (?:static )?([a-z.]+)\\.[A-Z]", Pattern.MULTILINE);
     private static final Map<String, Set<String>> MAY = Map.of(
             "decide", Set.of("decide"),
-            "core", Set.of("core", "decide"),
-            "config", Set.of("config", "decide"),
+            "membership", Set.of("membership", "decide"),
+            "conf", Set.of("conf"),
+            "core", Set.of("core", "membership", "decide"),
+            "config", Set.of("config", "conf", "decide"),
             "intake", Set.of("intake", "core", "decide"),
             "admin", Set.of("admin", "core", "decide"),
-            "dispatch", Set.of("dispatch", "core", "decide"),
-            "roster", Set.of("roster", "core", "decide"),
+            "dispatch", Set.of("dispatch", "core", "membership", "decide"),
+            "roster", Set.of("roster", "core", "membership", "decide"),
             "wire", Set.of("wire", "config", "decide"));
 
     @Test
@@ -37,7 +39,7 @@
                 while (m.find()) {
                     String name = m.group(1);
                     boolean own = name.startsWith("dunlinhitch");
-                    boolean bare = Set.of("core", "decide").contains(entry.getKey()) && !name.startsWith("java.");
+                    boolean bare = Set.of("core", "decide", "membership").contains(entry.getKey()) && !name.startsWith("java.");
                     if (own && !entry.getValue().contains((name + "..").split("\\.")[1]) || !own && bare) {
                         wrong.put(file.toString(), name);
                     }
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -5,6 +5,7 @@
 
 import dunlinhitch.core.Effect.SendCall;
 import dunlinhitch.core.QueryAsk.PartAsk;
+import dunlinhitch.membership.StoreEntry;
 import dunlinhitch.decide.Routing.Limits;
 import dunlinhitch.decide.Routing.ListKind;
 import dunlinhitch.decide.Routing.Outcome;
--- a/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
@@ -7,7 +7,7 @@
 import dunlinhitch.core.Effect.PartSend;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.MicroClock;
-import dunlinhitch.core.StoreEntry;
+import dunlinhitch.membership.StoreEntry;
 import dunlinhitch.decide.Routing.Outcome;
 import dunlinhitch.decide.Routing.ServerState;
 import dunlinhitch.dispatch.Reports;
