DNS-SD records by a resolver, push sessions and updates of our own; dunlinhitch.conf

Cause: withdrawals were seen when the shortest TTL had run out; of SRV only the first record was read, contradictions were not noticed, authority was not looked at, one server and service only; settings were JSON without places in their errors.

Change: roster.dnssd is Records (pure: sets with TTLs, what to ask when, claims), Resolver (UDP with EDNS0, TCP), Dso and PushDialogue (RFC 8490, RFC 8765, pure), AnnouncePlan and Announcer (RFC 2136, RFC 8945); RosterFile keeps the last known claims with a checksum; package conf reads dunlinhitch.conf. The stand-ins moved to package lab, with a name server that misbehaves by script. The look-up before this stays in the lab, to measure against.

Found on the way: the first serial seen after a change hid it (the list is now asked for again with the first serial); dnsjava writes EDNS's record behind a signature that was applied by hand, so it signs as it writes.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -3,6 +3,7 @@
 import dunlinhitch.admin.AdminFront;
 import dunlinhitch.admin.BanFolder;
 import dunlinhitch.config.Config;
+import dunlinhitch.config.Product;
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Effect;
 import dunlinhitch.core.Event;
@@ -20,14 +21,17 @@
 import dunlinhitch.intake.flight.FlightFront;
 import dunlinhitch.intake.http.ClientListener;
 import dunlinhitch.intake.http.HttpFront;
+import dunlinhitch.decide.Routing;
+import dunlinhitch.membership.MembershipSettings;
 import dunlinhitch.roster.RosterReader;
 import dunlinhitch.roster.Source;
 import dunlinhitch.roster.Watch;
-import dunlinhitch.roster.dnssd.DnsSd;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -76,7 +80,8 @@
     private final AdminFront admin;
     private final BanFolder bans;
     private final Stores stores;
-    private final Source roster;
+    private final List<Source> sources;
+    private final RecordSources records;
     private final Front flight;
     private FlightStores flightStores;
     private final boolean known;
@@ -96,7 +101,7 @@
         this.config = config;
         shared = listener != null && listener.isShared();
         this.log = log;
-        reducer = new Reducer(config.settings(), config.seed(), startUs);
+        reducer = new Reducer(config.settings(), membership(config), config.seed(), startUs);
         loop = new Loop(vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(reducer::settings);
@@ -114,7 +119,7 @@
                         () -> config.sockets() / (shared ? SHARED_STORES_PART : STORES_PART), reports,
                         clock, loop);
         // no class of Arrow is loaded unless this front is on or a store speaks Flight
-        flight = config.fronts().flight() == null ? null
+        flight = config.product().flight() == null ? null
                 : new FlightFront(vertx, context, exchanges, queries, loop, clock);
         stores = new Stores(entry -> open(context, frames, reports, entry), loop);
         RosterReader reader = new RosterReader(config.settings().zones(), loop);
@@ -122,10 +127,17 @@
         if (known) {
             loop.accept(reader.read(config.known(), true));
         }
-        Config.DnsService dns = config.fronts().dnsSd();
-        roster = dns == null
-                ? new Watch(vertx, config.known().getLong("generation", 0), reader, loop, clock)
-                : new DnsSd(vertx, context, dns.server().host(), dns.server().port(), dns.service(), reader, loop, clock);
+        List<Source> all = new ArrayList<>();
+        if (config.product().discovery()) {
+            all.add(new Watch(vertx, config.known().getLong("generation", 0), reader, loop, clock));
+        }
+        // no class of DNS is loaded unless the product's own file names a service
+        records = config.product() == Product.NONE ? null
+                : new RecordSources(vertx, config, reader, loop, clock, log, reducer::membership);
+        if (records != null) {
+            all.addAll(records.sources());
+        }
+        sources = List.copyOf(all);
         loop.edges(this::carryOut);
         loop.accept(new Event.DiscoveryNamed(config.discovery().host(), config.discovery().port()));
     }
@@ -140,6 +152,13 @@
         return flightStores.open(entry);
     }
 
+    private static MembershipSettings membership(Config config) {
+        Product.MembershipTimes times = config.product().membership();
+        Routing.Layout layout = config.settings().layout();
+        return times == null ? null : MembershipSettings.of(layout.cells(), layout.inARow()).withTimes(times.lingerUs(),
+                times.staleForUs(), times.holdUs(), times.holdMostUs(), times.calmUs());
+    }
+
     /** Listens for operators, where they have an address, before clients are let in; the result is its port, or 0. */
     public Future<Integer> openDesk() {
         return admin == null ? Future.succeededFuture(0)
@@ -149,7 +168,10 @@
     /** Listens and follows discovery; the result is the port of the HTTP front. */
     public Future<Integer> start() {
         vertx.exceptionHandler(this::fault);
-        roster.start();
+        sources.forEach(Source::start);
+        if (records != null) {
+            records.start();
+        }
         return bans.start(shared).recover(e -> { // better to serve without it: calls that could not be kept are told so
             log.accept("stores out by hand can not be kept: " + e);
             return Future.succeededFuture(false);
@@ -161,13 +183,16 @@
         })
                 .onSuccess(bound -> port = bound)
                 .compose(v -> flight == null ? Future.succeededFuture()
-                        : flight.listen(config.fronts().flight().host(), config.fronts().flight().port())
+                        : flight.listen(config.product().flight().host(), config.product().flight().port())
                                 .onSuccess(bound -> {
                                     flightPort = bound;
                                     log.accept(config.name() + " listens for Arrow Flight on port " + bound);
                                 }).mapEmpty())
                 .map(v -> {
                     warm = true;
+                    if (records != null) {
+                        records.ready();
+                    }
                     return port;
                 });
     }
@@ -180,7 +205,8 @@
     }
 
     private boolean ready() {
-        boolean told = roster.answered() || known && clock.getAsLong() - startUs > KNOWN_WILL_DO_US;
+        boolean told = sources.stream().anyMatch(Source::answered)
+                || (known || records != null && records.restored()) && clock.getAsLong() - startUs > KNOWN_WILL_DO_US;
         return warm && told && !ending;
     }
 
@@ -191,6 +217,9 @@
      */
     public Future<Void> stop() {
         ending = true;
+        if (records != null) {
+            records.ending();
+        }
         long now = clock.getAsLong();
         long longestUs = Math.min(LONGEST_US, reducer.settings().classes().stream()
                 .mapToLong(kind -> kind.deadlineUs()).max().orElseThrow());
@@ -254,14 +283,14 @@
         } else if (effect instanceof Effect.UnknownStore e) {
             admin.reply(e.call(), 404, "no such calendar store");
         } else if (effect instanceof Effect.Resync) {
-            roster.resync();
+            sources.forEach(Source::resync);
         } else if (effect instanceof Effect.FollowDiscovery e) {
-            roster.follow(e.host(), e.port());
+            sources.forEach(source -> source.follow(e.host(), e.port()));
         } else if (effect instanceof Effect.Log e) {
             log.accept(e.text());
         } else if (effect instanceof Effect.Finished) {
-            roster.stop();
-            Future.join(http.close(), flight == null ? Future.succeededFuture() : flight.close(),
+            sources.forEach(Source::stop);
+            Future.join(records == null ? Future.<Void>succeededFuture() : records.close(), http.close(), flight == null ? Future.succeededFuture() : flight.close(),
                     admin == null ? Future.succeededFuture() : admin.close()).onComplete(done -> {
                 stores.close();
                 if (flightStores != null) {
--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -29,7 +29,7 @@
 public final class Main {
     static final String VERSION = "dunlinhitch 0.1.0";
 
-    private static final String FRONTS = "deploy/fronts.json";
+    private static final String OWN = "deploy/dunlinhitch.conf";
     private static final int REHEARSAL_S = 20;
     /** A new process beside an old one is waited for 6 s at the longest. */
     private static final long READY_BY_MS = 4_500;
@@ -69,7 +69,7 @@
         serve.told = new Told();
         String file = System.getenv("ROUTER_CONFIG");
         serve.told.file = file == null ? null : Path.of(file);
-        serve.told.fronts = Path.of(FRONTS);
+        serve.told.own = Path.of(OWN);
         try {
             return serve.call();
         } catch (InterruptedException | RuntimeException e) {
@@ -94,15 +94,15 @@
         @Option(names = "--config", defaultValue = "${env:ROUTER_CONFIG}", description = "the configuration, as JSON")
         private Path file;
 
-        @Option(names = "--fronts", defaultValue = FRONTS,
-                description = "what more is switched on (default: ${DEFAULT-VALUE}, if it is there)")
-        private Path fronts;
+        @Option(names = "--conf", defaultValue = OWN,
+                description = "the product's own settings (default: ${DEFAULT-VALUE}, if it is there)")
+        private Path own;
 
         ConfigFile config() {
             if (file == null) {
                 throw new Config.ConfigException("name a configuration with --config or ROUTER_CONFIG");
             }
-            return new ConfigFile(file, fronts, System.getenv());
+            return new ConfigFile(file, own, System.getenv());
         }
     }
 
--- a/src/main/java/dunlinhitch/Rehearsal.java
+++ b/src/main/java/dunlinhitch/Rehearsal.java
@@ -5,6 +5,7 @@
 import com.eclipsesource.json.JsonObject;
 import dunlinhitch.config.Config;
 import dunlinhitch.config.Config.Address;
+import dunlinhitch.config.Product;
 import dunlinhitch.core.MicroClock;
 import dunlinhitch.decide.Routing;
 import io.vertx.core.Context;
@@ -79,7 +80,7 @@
                     Address any = new Address(host, 0);
                     Broker broker = new Broker(vertx, context, new Config("rehearsal", any, null,
                             new Address(host, bound.actualPort()), 1, Json.object(), Config.SOCKETS, settings,
-                            Config.Fronts.NONE, null), line -> { });
+                            Product.NONE, null), line -> { });
                     return broker.start().compose(port -> {
                         List<Future<Void>> asked = new ArrayList<>();
                         for (int i = 0; i < CLIENTS; i++) {
--- a/src/main/java/dunlinhitch/config/Config.java
+++ b/src/main/java/dunlinhitch/config/Config.java
@@ -12,11 +12,11 @@
 
 /**
  * What a broker is told at its start: a JSON file, with name and addresses over-ridden by the environment.
- * {@code admin}, where operators call, may be null; {@code known} is the list of stores as the broker last had it, empty if there was none; {@code scratch} is a
+ * {@code admin}, where operators call, may be null; {@code known} is the list of stores as the broker last had it, empty if there was none; {@code product} is what its own settings file switches on; {@code scratch} is a
  * folder that the processes of this broker share, or null.
  */
 public record Config(String name, Address listen, Address admin, Address discovery, long seed, JsonObject known,
-        int sockets, Routing.Settings settings, Fronts fronts, Path scratch) {
+        int sockets, Routing.Settings settings, Product product, Path scratch) {
     /** Where the file does not say how many descriptors the process may hold. */
     public static final int SOCKETS = 1024;
     private static final int LEAST_SOCKETS = 64;
@@ -25,15 +25,6 @@
     private static final String SCRATCH = "TMPDIR";
     static final String DISCOVERY = "ROUTER_DISCOVERY";
 
-    /** What the file of fronts switches on; null: off. */
-    public record Fronts(Address flight, DnsService dnsSd) {
-        public static final Fronts NONE = new Fronts(null, null);
-    }
-
-    /** A DNS server and the service that it is asked for. */
-    public record DnsService(Address server, String service) {
-    }
-
     /** An IP address and a port. */
     public record Address(String host, int port) {
         public static Address parse(String what, String text) {
@@ -59,9 +50,8 @@
         }
     }
 
-    /** From what the file holds; {@code env} holds the ROUTER_ variables. Without the file of fronts none is on. */
-    static Config read(Path file, JsonObject root, Path frontsFile, Map<String, String> env) {
-        Fronts fronts = Files.exists(frontsFile) ? fronts(frontsFile, json(frontsFile)) : Fronts.NONE;
+    /** From what the file holds; {@code env} holds the ROUTER_ variables. */
+    static Config read(Path file, JsonObject root, Product product, Map<String, String> env) {
         try {
             JsonValue settings = root.get("settings");
             if (settings == null) {
@@ -75,7 +65,7 @@
                     Long.parseUnsignedLong(root.getString("seed", "0"), 16),
                     known == null || known.isNull() ? Json.object() : known.asObject(),
                     sockets(root.get("limits")),
-                    SettingsReader.read(settings.asObject()), fronts,
+                    SettingsReader.read(settings.asObject()), product,
                     env.getOrDefault(SCRATCH, "").isEmpty() ? null : Path.of(env.get(SCRATCH)));
         } catch (ConfigException e) {
             throw new ConfigException(file + ": " + e.getMessage());
@@ -105,20 +95,4 @@
             throw new ConfigException("cannot read " + file + ": " + e.getMessage());
         }
     }
-
-    private static Fronts fronts(Path file, JsonObject root) {
-        try {
-            JsonValue flight = root.get("flight");
-            JsonValue dns = root.get("dns_sd");
-            return new Fronts(flight == null ? null
-                    : Address.parse("flight.listen", flight.asObject().get("listen").asString()),
-                    dns == null ? null : new DnsService(
-                            Address.parse("dns_sd.server", dns.asObject().get("server").asString()),
-                            dns.asObject().get("service").asString()));
-        } catch (ConfigException e) {
-            throw new ConfigException(file + ": " + e.getMessage());
-        } catch (RuntimeException e) {
-            throw new ConfigException(file + " does not hold what it should: " + e.getMessage());
-        }
-    }
 }
--- a/src/main/java/dunlinhitch/config/ConfigFile.java
+++ b/src/main/java/dunlinhitch/config/ConfigFile.java
@@ -18,22 +18,22 @@
     /** The list of stores as it was; it need not be there, and its entries may be worded anew. */
     private static final String KNOWN = "known";
     private final Path file;
-    private final Path frontsFile;
+    private final Path ownFile;
     private final Map<String, String> env;
     private JsonObject held = new JsonObject();
     private Config config;
 
     /** {@code env} holds the ROUTER_ variables. */
-    public ConfigFile(Path file, Path frontsFile, Map<String, String> env) {
+    public ConfigFile(Path file, Path ownFile, Map<String, String> env) {
         this.file = file;
-        this.frontsFile = frontsFile;
+        this.ownFile = ownFile;
         this.env = Map.copyOf(env);
     }
 
     /** As a start reads it. */
     public Config read() {
         JsonObject root = Config.json(file);
-        config = Config.read(file, root, frontsFile, env);
+        config = Config.read(file, root, Product.read(ownFile), env);
         held = root;
         return config;
     }
@@ -47,7 +47,7 @@
         requireKeysOf(held, root, "");
         Map<String, String> rest = new HashMap<>(env);
         rest.remove(Config.DISCOVERY);
-        Config now = Config.read(file, root, frontsFile, rest);
+        Config now = Config.read(file, root, config.product(), rest);
         if (!now.settings().zones().equals(config.settings().zones())
                 || !now.settings().layout().equals(config.settings().layout())) {
             throw new Config.ConfigException(file + ": other zones, or another layout of shards, want a restart");
--- /dev/null
+++ b/src/main/java/dunlinhitch/config/Product.java
@@ -0,0 +1,82 @@
+package dunlinhitch.config;
+
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import dunlinhitch.config.Config.Address;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * What the product's own settings file switches on; without the file nothing of it is, and no class of it is loaded.
+ *
+ * @param flight where the Arrow Flight front listens, or null
+ * @param discovery whether the platform's list is followed
+ * @param dnsSd services whose records name stores
+ * @param announcement where the broker announces itself, or null
+ * @param stateDir where the last known state is kept, or null
+ * @param membership its times, or null for the standard
+ */
+public record Product(Address flight, boolean discovery, List<DnsService> dnsSd, Announcement announcement, Path stateDir,
+        MembershipTimes membership) {
+    public static final Product NONE = new Product(null, true, List.of(), null, null, null);
+    /** The form of this file that came before. */
+    private static final String OLD = "fronts.json";
+
+    public Product {
+        dnsSd = List.copyOf(dnsSd);
+    }
+
+    /**
+     * A service and the servers that are asked for it, each a source of its own. {@code push}, {@code pushTrust} and {@code pushName} may
+     * be null; times are microseconds, {@code soaEveryUs} 0: never.
+     */
+    public record DnsService(String name, List<Address> servers, String service, List<String> subtypes, int rank, String zone,
+            long soaEveryUs, Address push, Path pushTrust, String pushName, int instances) {
+        public DnsService {
+            servers = List.copyOf(servers);
+            subtypes = List.copyOf(subtypes);
+        }
+    }
+
+    /** The broker's own records; {@code address} is where clients reach it, {@code key} a TSIG key file or null. */
+    public record Announcement(Address server, String zone, String service, String instance, String target, Address address,
+            List<String> txt, long ttlUs, long leaseUs, Path key) {
+        public Announcement {
+            txt = List.copyOf(txt);
+        }
+    }
+
+    /** In microseconds. */
+    public record MembershipTimes(long lingerUs, long staleForUs, long holdUs, long holdMostUs, long calmUs) {
+    }
+
+    /** What the file says; where there is none, {@link #NONE}. Throws a {@link Config.ConfigException}. */
+    public static Product read(Path file) {
+        if (Files.exists(file)) {
+            return ProductReader.read(file);
+        }
+        Path old = file.resolveSibling(OLD);
+        if (Files.exists(old)) {
+            throw new Config.ConfigException(old + " is no longer read; write into " + file + ": " + translated(old));
+        }
+        return NONE;
+    }
+
+    /** The old file's content as directives, on one line. */
+    private static String translated(Path old) {
+        JsonObject root = Config.json(old);
+        StringBuilder out = new StringBuilder();
+        JsonValue flight = root.get("flight");
+        if (flight != null && flight.isObject()) {
+            out.append("'[flight]', 'listen ").append(flight.asObject().getString("listen", "HOST:PORT")).append("'");
+        }
+        JsonValue dns = root.get("dns_sd");
+        if (dns != null && dns.isObject()) {
+            out.append(out.isEmpty() ? "" : ", ").append("'discovery off', '[dns_sd main]', 'server ")
+                    .append(dns.asObject().getString("server", "HOST:PORT")).append("', 'service ")
+                    .append(dns.asObject().getString("service", "NAME")).append("'");
+        }
+        return out.isEmpty() ? "nothing, for it switches nothing on" : out + " (each a line; 'discovery' before any section)";
+    }
+}
--- /dev/null
+++ b/src/main/java/dunlinhitch/config/ProductReader.java
@@ -0,0 +1,141 @@
+package dunlinhitch.config;
+
+import dunlinhitch.conf.Block;
+import dunlinhitch.conf.ConfException;
+import dunlinhitch.conf.Schema;
+import dunlinhitch.conf.Schema.Kind;
+import dunlinhitch.config.Config.Address;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The directives of {@code dunlinhitch.conf} and what they come to. */
+public final class ProductReader {
+    private static final int MOST_RANK = 1000;
+    private static final int MOST_INSTANCES = 50_000;
+
+    private ProductReader() {
+    }
+
+    /** What the file may hold. */
+    public static Schema schema() {
+        Schema schema = new Schema();
+        schema.part("", false)
+                .may("discovery", Kind.SWITCH, "on", "whether the platform's list of stores is followed")
+                .may("state_dir", Kind.PATH, null, "where the last known state is kept over restarts");
+        schema.part("flight", false).required("listen", Kind.ADDRESS, "where the Arrow Flight front listens");
+        schema.part("dns_sd", true)
+                .many("server", Kind.ADDRESS, true, "a DNS server, by its IP address; each is a source of its own")
+                .required("service", Kind.TEXT, "the service, such as _calendar._tcp.rooms.example.org")
+                .many("subtype", Kind.TEXT, false, "only instances of this subtype")
+                .may("rank", Kind.COUNT, "1", "standing among sources that disagree; lower goes first, discovery has 0")
+                .may("zone", Kind.TEXT, null, "the zone whose serial is asked for (the service's domain)")
+                .may("soa_every", Kind.DURATION, "0s", "how often the zone's serial is asked for; 0s: never")
+                .may("push", Kind.ADDRESS, null, "a server of DNS Push Notifications over TLS")
+                .may("push_trust", Kind.PATH, null, "PEM file of the authorities that may vouch for it (the system's)")
+                .may("push_name", Kind.TEXT, null, "the name that its certificate must have (that of push)")
+                .may("instances", Kind.COUNT, "4096", "instances that are taken at the most");
+        schema.part("membership", false)
+                .may("linger", Kind.DURATION, "10s", "how long a withdrawn store may come back as the same")
+                .may("stale_for", Kind.DURATION, "1h", "how long records are kept past their time")
+                .may("hold", Kind.DURATION, "500ms", "what the second return within calm waits; each further one twice")
+                .may("hold_most", Kind.DURATION, "30s", "the longest that a return waits")
+                .may("calm", Kind.DURATION, "1m", "after so long without a withdrawal returns are free again");
+        schema.part("announce", false)
+                .required("server", Kind.ADDRESS, "the zone's primary server")
+                .required("zone", Kind.TEXT, "the zone that is updated")
+                .required("service", Kind.TEXT, "the service that brokers are found under")
+                .required("instance", Kind.TEXT, "this broker's name among them")
+                .required("address", Kind.ADDRESS, "where clients reach it; an IP address")
+                .may("target", Kind.TEXT, null, "the host's name within the zone (that of instance)")
+                .many("txt", Kind.TEXT, false, "a word of its TXT record")
+                .may("ttl", Kind.DURATION, "120s", "of its records")
+                .may("lease", Kind.DURATION, "1h", "how long the server keeps them without a word")
+                .may("key", Kind.PATH, null, "file with NAME ALGORITHM SECRET of the TSIG key");
+        return schema;
+    }
+
+    static Product read(Path file) {
+        try {
+            Address flight = null;
+            boolean discovery = true;
+            Path state = null;
+            Product.MembershipTimes times = null;
+            Product.Announcement announcement = null;
+            List<Product.DnsService> services = new ArrayList<>();
+            for (Block block : schema().read(file)) {
+                switch (block.kind()) {
+                    case "flight" -> flight = address(block, "listen");
+                    case "dns_sd" -> services.add(service(block));
+                    case "membership" -> times = times(block);
+                    case "announce" -> announcement = announcement(block);
+                    default -> {
+                        discovery = block.on("discovery");
+                        state = block.path("state_dir");
+                    }
+                }
+            }
+            if (!discovery && services.isEmpty()) {
+                throw new ConfException(file, "discovery is off and there is no [dns_sd NAME]: no store would ever be known");
+            }
+            return new Product(flight, discovery, services, announcement, state, times);
+        } catch (ConfException e) {
+            throw new Config.ConfigException(e.getMessage());
+        }
+    }
+
+    private static Address address(Block block, String name) {
+        return block.has(name) ? Address.parse(name, block.text(name)) : null;
+    }
+
+    private static Product.DnsService service(Block block) {
+        List<Address> servers = block.all("server").stream().map(text -> Address.parse("server", text)).toList();
+        if (servers.stream().distinct().count() < servers.size()) {
+            throw block.wrong("server", "stands twice with the same address");
+        }
+        for (Address server : servers) {
+            if (!isIp(server.host())) {
+                throw block.wrong("server", "is an IP address, for it is what names are looked up with: " + server.host());
+            }
+        }
+        if (block.count("rank") < 1 || block.count("rank") > MOST_RANK) {
+            throw block.wrong("rank", "is from 1 to " + MOST_RANK);
+        }
+        if (block.count("instances") < 1 || block.count("instances") > MOST_INSTANCES) {
+            throw block.wrong("instances", "is from 1 to " + MOST_INSTANCES);
+        }
+        if (!block.text("service").matches("(?i)_[a-z0-9-]{1,15}\\._(tcp|udp)\\..+")) {
+            throw block.wrong("service", "begins with _NAME._tcp (RFC 6763 section 7) and has a domain behind it: "
+                    + block.text("service"));
+        }
+        return new Product.DnsService(block.label(), servers, block.text("service"), block.all("subtype"),
+                (int) block.count("rank"), block.text("zone"), block.durationUs("soa_every"), address(block, "push"),
+                block.path("push_trust"), block.text("push_name"), (int) block.count("instances"));
+    }
+
+    private static boolean isIp(String host) {
+        return host.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}") || host.matches("\\[?[0-9a-fA-F:.]*:[0-9a-fA-F:.]*\\]?");
+    }
+
+    private static Product.MembershipTimes times(Block block) {
+        if (block.durationUs("hold_most") < block.durationUs("hold")) {
+            throw block.wrong(block.has("hold_most") ? "hold_most" : "hold", "makes hold_most shorter than hold");
+        }
+        return new Product.MembershipTimes(block.durationUs("linger"), block.durationUs("stale_for"),
+                block.durationUs("hold"), block.durationUs("hold_most"), block.durationUs("calm"));
+    }
+
+    private static Product.Announcement announcement(Block block) {
+        Address address = address(block, "address");
+        if (!isIp(address.host())) {
+            throw block.wrong("address", "is an IP address and a port: " + block.text("address"));
+        }
+        if (block.durationUs("lease") < 30_000_000) {
+            throw block.wrong("lease", "is 30s or more");
+        }
+        return new Product.Announcement(address(block, "server"), block.text("zone"), block.text("service"),
+                block.text("instance"), block.text("target") == null
+                ? block.text("instance").replaceAll("[^A-Za-z0-9-]+", "-") : block.text("target"), address,
+                block.all("txt"), block.durationUs("ttl"), block.durationUs("lease"), block.path("key"));
+    }
+}
--- a/src/main/java/dunlinhitch/roster/dnssd/DnsSd.java
+++ b/src/main/java/dunlinhitch/lab/dns/OldLookUp.java
@@ -1,4 +1,4 @@
-package dunlinhitch.roster.dnssd;
+package dunlinhitch.lab.dns;
 
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Event;
@@ -38,14 +38,15 @@
 import java.util.function.LongSupplier;
 
 /**
- * Stores as DNS-SD has them (RFC 6763): PTR names the instances of the service, SRV says where each is, TXT what it
+ * The look-up of stores as it was before {@code DnsSource}, kept to measure against: the whole service is asked for again when its
+ * shortest TTL has run out. Stores as DNS-SD has them (RFC 6763): PTR names the instances of the service, SRV says where each is, TXT what it
  * is ({@code id, cell, zone, state, protocol, start}). A look-up lasts as long as its shortest TTL; an instance that
  * is absent then is gone. A server that does not answer changes nothing.
  *
  * <p>Vert.x's DnsClient gives one PTR record of an answer and no TTL but SRV's, so PTR is asked by the resolver
  * beneath it, on the same event loop.
  */
-public final class DnsSd implements Source {
+public final class OldLookUp implements Source {
     private static final long QUERY_US = 1_000_000;
     private static final long LEAST_TTL_US = 1_000_000;
     private static final long MOST_TTL_US = 60_000_000;
@@ -74,7 +75,7 @@
         }
     }
 
-    public DnsSd(Vertx vertx, Context context, String host, int port, String service, RosterReader reader,
+    public OldLookUp(Vertx vertx, Context context, String host, int port, String service, RosterReader reader,
             Consumer<Event> events, LongSupplier clock) {
         this.vertx = vertx;
         this.service = service;
--- a/src/test/java/dunlinhitch/standin/Client.java
+++ b/src/main/java/dunlinhitch/lab/standin/Client.java
@@ -1,4 +1,4 @@
-package dunlinhitch.standin;
+package dunlinhitch.lab.standin;
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
--- a/src/test/java/dunlinhitch/standin/FrameStore.java
+++ b/src/main/java/dunlinhitch/lab/standin/FrameStore.java
@@ -1,4 +1,4 @@
-package dunlinhitch.standin;
+package dunlinhitch.lab.standin;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
--- a/src/test/java/dunlinhitch/standin/Stage.java
+++ b/src/main/java/dunlinhitch/lab/standin/Stage.java
@@ -1,9 +1,10 @@
-package dunlinhitch.standin;
+package dunlinhitch.lab.standin;
 
 import com.eclipsesource.json.Json;
 import dunlinhitch.Broker;
 import dunlinhitch.config.Config;
 import dunlinhitch.config.Config.Address;
+import dunlinhitch.config.Product;
 import dunlinhitch.decide.Routing;
 import dunlinhitch.decide.Routing.Repeat;
 import dunlinhitch.decide.Routing.ReportField;
@@ -26,6 +27,12 @@
     public volatile int adminPort;
     /** Descriptors that the broker may hold. */
     public int sockets = Config.SOCKETS;
+    /** Where the last known state is kept, what is announced, and the times of the membership, or null. */
+    public Path stateDir;
+    public Product.Announcement announcement;
+    public Product.MembershipTimes times;
+    /** What the broker logged. */
+    public final List<String> log = new java.util.concurrent.CopyOnWriteArrayList<>();
     /** The folder that processes of the broker share. */
     public Path scratch;
 
@@ -57,15 +64,15 @@
     }
 
     /** Starts the broker on ports of its own and waits until it is ready. */
-    public void start(Routing.Settings settings, Config.DnsService dns) throws Exception {
+    public void start(Routing.Settings settings, Product.DnsService dns) throws Exception {
         Address any = new Address("127.0.0.1", 0);
         Config config = new Config("n0", any, any, new Address("127.0.0.1", discovery.port()), 7, Json.object(), sockets,
-                settings, new Config.Fronts(any, dns), scratch);
+                settings, product(any, dns), scratch);
         Context context = vertx.getOrCreateContext();
         CompletableFuture<Integer> port = new CompletableFuture<>();
         context.runOnContext(v -> {
             try {
-                broker = new Broker(vertx, context, config, line -> { }, listener);
+                broker = new Broker(vertx, context, config, log::add, listener);
                 broker.openDesk().onSuccess(desk -> adminPort = desk).compose(desk -> broker.start()).onSuccess(port::complete).onFailure(port::completeExceptionally);
             } catch (RuntimeException | Error e) {
                 port.completeExceptionally(e);
@@ -74,6 +81,10 @@
         httpPort = port.get(8, TimeUnit.SECONDS);
     }
 
+    private Product product(Address flight, Product.DnsService dns) {
+        return new Product(flight, dns == null, dns == null ? List.of() : List.of(dns), announcement, stateDir, times);
+    }
+
     /** Both stores hold every shard; their zone is the broker's, so that neither costs more. */
     public void list(Store... stores) {
         String[] entries = new String[stores.length];
--- a/src/test/java/dunlinhitch/standin/Store.java
+++ b/src/main/java/dunlinhitch/lab/standin/Store.java
@@ -1,4 +1,4 @@
-package dunlinhitch.standin;
+package dunlinhitch.lab.standin;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/src/test/java/dunlinhitch/AdminTest.java
+++ b/src/test/java/dunlinhitch/AdminTest.java
@@ -4,11 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dunlinhitch.admin.BanFolder;
-import dunlinhitch.standin.Client;
-import dunlinhitch.standin.FlightStore;
-import dunlinhitch.standin.FrameStore;
-import dunlinhitch.standin.Stage;
-import dunlinhitch.standin.Store;
+import dunlinhitch.lab.standin.Client;
+import dunlinhitch.lab.standin.FlightStore;
+import dunlinhitch.lab.standin.FrameStore;
+import dunlinhitch.lab.standin.Stage;
+import dunlinhitch.lab.standin.Store;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.URLEncoder;
--- a/src/test/java/dunlinhitch/LoopTest.java
+++ b/src/test/java/dunlinhitch/LoopTest.java
@@ -8,7 +8,7 @@
 import dunlinhitch.core.MicroClock;
 import dunlinhitch.core.QueryAsk;
 import dunlinhitch.core.Reducer;
-import dunlinhitch.standin.Stage;
+import dunlinhitch.lab.standin.Stage;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.util.List;
--- a/src/test/java/dunlinhitch/MainTest.java
+++ b/src/test/java/dunlinhitch/MainTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dunlinhitch.standin.Discovery;
+import dunlinhitch.lab.standin.Discovery;
 import io.vertx.core.Vertx;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
--- a/src/test/java/dunlinhitch/UpgradeTest.java
+++ b/src/test/java/dunlinhitch/UpgradeTest.java
@@ -5,9 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dunlinhitch.intake.http.ClientListener;
-import dunlinhitch.standin.Client;
-import dunlinhitch.standin.FrameStore;
-import dunlinhitch.standin.Stage;
+import dunlinhitch.lab.standin.Client;
+import dunlinhitch.lab.standin.FrameStore;
+import dunlinhitch.lab.standin.Stage;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -13,7 +13,7 @@
 import dunlinhitch.decide.Routing.Repeat;
 import dunlinhitch.decide.Routing.ServerState;
 import dunlinhitch.decide.Routing.Settings;
-import dunlinhitch.standin.Stage;
+import dunlinhitch.lab.standin.Stage;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
--- a/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
@@ -3,9 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dunlinhitch.standin.Client;
-import dunlinhitch.standin.Discovery;
-import dunlinhitch.standin.Stage;
+import dunlinhitch.lab.standin.Client;
+import dunlinhitch.lab.standin.Discovery;
+import dunlinhitch.lab.standin.Stage;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
