Commands records and lab measure; one change costs the same in any list

Cause: nobody could see what records mean to a broker, and the decisions rebuilt their index of servers with every change.

Flight's readers no longer throw at a loop that has ended.

--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -25,11 +25,12 @@
 /** The command line; wires the parts up. */
 @Command(name = "dunlinhitch", description = "A broker for sharded, replicated calendar stores.",
         mixinStandardHelpOptions = true, version = Main.VERSION, subcommands = {Main.Serve.class, Main.Drill.class,
-            Main.Check.class, Main.Rehearse.class, Main.ShowVersion.class})
+            Main.Check.class, Main.Rehearse.class, RecordsCommand.class, Main.ShowVersion.class})
 public final class Main {
     static final String VERSION = "dunlinhitch 0.1.0";
 
     private static final String OWN = "deploy/dunlinhitch.conf";
+    private static final String LAB = "dunlinhitch.lab.LabCommand";
     private static final int REHEARSAL_S = 20;
     /** A new process beside an old one is waited for 6 s at the longest. */
     private static final long READY_BY_MS = 4_500;
@@ -53,7 +54,7 @@
     }
 
     public static void main(String[] arguments) {
-        int code = arguments.length == 1 && arguments[0].equals("serve") ? serve() : commandLine().execute(arguments);
+        int code = arguments.length == 1 && arguments[0].equals("serve") ? serve() : commandLine(arguments).execute(arguments);
         if (code != 0 || arguments.length == 0 || !arguments[0].equals("serve")) {
             System.out.flush();
             System.exit(code);
@@ -84,6 +85,21 @@
                 .setExecutionExceptionHandler((e, line, parsed) -> complain(e));
     }
 
+    /** With the lab where it is asked for: nothing but its own command loads a class of it. */
+    private static CommandLine commandLine(String[] arguments) {
+        CommandLine line = commandLine();
+        if (arguments.length > 0 && arguments[0].equals("lab")) {
+            try {
+                Object lab = Class.forName(LAB).getDeclaredConstructor().newInstance();
+                line.addSubcommand("lab", new CommandLine(lab).setParameterExceptionHandler((e, a) -> complain(e))
+                        .setExecutionExceptionHandler((e, l, parsed) -> complain(e)));
+            } catch (ReflectiveOperationException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+        return line;
+    }
+
     private static int complain(Exception e) {
         System.err.println("dunlinhitch: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         return 2;
@@ -203,7 +219,7 @@
         }
     }
 
-    @Command(name = "check", description = "Reads a configuration and says whether it can be used.",
+    @Command(name = "check", description = "Reads a configuration and the product's own settings, and says what holds.",
             mixinStandardHelpOptions = true)
     static final class Check implements Callable<Integer> {
         @Mixin
@@ -215,6 +231,7 @@
             System.out.println(config.name() + ": " + config.settings().classes().size() + " classes, "
                     + config.settings().layout().shards() + " shards, listens on " + config.listen().host() + ":"
                     + config.listen().port());
+            System.out.print(config.product().described());
             return 0;
         }
     }
--- a/src/main/java/dunlinhitch/config/Product.java
+++ b/src/main/java/dunlinhitch/config/Product.java
@@ -63,6 +63,41 @@
         return NONE;
     }
 
+    /** What holds, a line each, for {@code check}; empty where nothing is switched on. */
+    public String described() {
+        if (this.equals(NONE)) {
+            return "";
+        }
+        StringBuilder out = new StringBuilder();
+        out.append("discovery: ").append(discovery ? "followed" : "not followed").append('\n');
+        if (flight != null) {
+            out.append("flight: listens on ").append(flight.host()).append(':').append(flight.port()).append('\n');
+        }
+        for (DnsService s : dnsSd) {
+            out.append("dns_sd ").append(s.name()).append(": ").append(s.service());
+            s.subtypes().forEach(subtype -> out.append(", subtype ").append(subtype));
+            s.servers().forEach(server -> out.append(", at ").append(server.host()).append(':').append(server.port()));
+            out.append(", rank ").append(s.rank()).append(s.push() == null ? "" : ", push from " + s.push().host() + ":"
+                    + s.push().port()).append(s.soaEveryUs() > 0 ? ", serial every " + s.soaEveryUs() / 1000 + " ms" : "")
+                    .append('\n');
+        }
+        if (announcement != null) {
+            out.append("announce: ").append(announcement.instance()).append(" as ").append(announcement.service())
+                    .append(" at ").append(announcement.server().host()).append(':').append(announcement.server().port())
+                    .append(announcement.key() == null ? ", not signed" : ", signed").append('\n');
+        }
+        if (stateDir != null) {
+            out.append("state: kept in ").append(stateDir).append('\n');
+        }
+        if (membership != null) {
+            out.append("membership: linger ").append(membership.lingerUs() / 1000).append(" ms, stale for ")
+                    .append(membership.staleForUs() / 1_000_000).append(" s, hold ").append(membership.holdUs() / 1000)
+                    .append(" to ").append(membership.holdMostUs() / 1000).append(" ms, calm ")
+                    .append(membership.calmUs() / 1000).append(" ms\n");
+        }
+        return out.toString();
+    }
+
     /** The old file's content as directives, on one line. */
     private static String translated(Path old) {
         JsonObject root = Config.json(old);
--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -142,8 +142,7 @@
         }
     }
 
-    private final Map<Integer, Server> servers = new LinkedHashMap<>();
-    private final Map<Integer, List<Server>> byCell = new HashMap<>();
+    private final Fleet servers = new Fleet();
     private final Map<Integer, Query> queries = new LinkedHashMap<>();
     private final Map<Long, Query> byNumber = new HashMap<>();
     private final Map<Integer, Part> parts = new HashMap<>();
@@ -265,7 +264,7 @@
         List<Server> found = new ArrayList<>();
         for (int j = 0; j < settings.layout().inARow(); j++) {
             int cell = Math.floorMod(part.shard + j, settings.layout().cells());
-            found.addAll(byCell.getOrDefault(cell, List.of()));
+            found.addAll(servers.inCell(cell));
         }
         return found;
     }
@@ -1048,11 +1047,9 @@
             listed.add(entry.id());
             take(entry);
         }
-        servers.values().stream().filter(s -> e.kind() != ListKind.DELTA && !listed.contains(s.id))
-                .forEach(s -> tell(s, ServerState.GONE));
-        servers.values().removeIf(s -> s.state == ServerState.GONE && s.out.isEmpty());
-        byCell.clear();
-        servers.values().forEach(s -> byCell.computeIfAbsent(s.cell, c -> new ArrayList<>()).add(s));
+        (e.kind() == ListKind.DELTA ? List.<Server>of() : servers.values()).stream()
+                .filter(s -> !listed.contains(s.id)).forEach(s -> tell(s, ServerState.GONE));
+        servers.forget();
         queries.values().forEach(q -> q.parts.stream().filter(part -> part.wanted).forEach(this::want));
     }
 
@@ -1069,10 +1066,10 @@
             return;
         }
         if (s == null) {
-            s = new Server(entry.id());
-            s.debtUs = meanEntry(entry.cell());
+            double mean = meanEntry(entry.cell());
+            s = servers.add(entry.id(), entry.cell());
+            s.debtUs = mean;
             s.debtAtUs = now;
-            servers.put(s.id, s);
         }
         if (entry.startedUs() > s.startedUs) {
             s.coldCredit = random.nextDouble() * unitUs();
@@ -1080,7 +1077,7 @@
         }
         s.startedUs = Math.max(entry.startedUs(), s.backUs);
         s.zone = entry.zone();
-        s.cell = entry.cell();
+        servers.move(s, entry.cell());
         tell(s, entry.state());
     }
 
@@ -1107,15 +1104,16 @@
 
     /** A new server starts at the mean of those it shares shards with. */
     private double meanEntry(int cell) {
-        int cells = settings.layout().cells();
-        return servers.values().stream().filter(s -> s.state == ServerState.READY
-                && Math.min(Math.floorMod(s.cell - cell, cells), Math.floorMod(cell - s.cell, cells))
-                        < settings.layout().inARow())
+        return servers.near(cell, settings.layout().inARow(), settings.layout().cells()).stream()
+                .filter(s -> s.state == ServerState.READY)
                 .mapToDouble(s -> debt(s) + Math.max(0, s.ledgerUs)).average().orElse(0);
     }
 
     private void tell(Server s, ServerState state) {
         s.toldUs = s.state == state ? s.toldUs : now;
         s.state = state;
+        if (state == ServerState.GONE) {
+            servers.gone(s);
+        }
     }
 }
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightStores.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightStores.java
@@ -108,7 +108,11 @@
     }
 
     void onLoop(Runnable task) {
-        context.runOnContext(v -> task.run());
+        try {
+            context.runOnContext(v -> task.run());
+        } catch (RejectedExecutionException e) {
+            // the loop has ended, and nobody waits for this any more
+        }
     }
 
     long nowUs() {
--- a/src/main/java/dunlinhitch/lab/standin/FlightStore.java
+++ b/src/main/java/dunlinhitch/lab/standin/FlightStore.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.apache.arrow.flight.Action;
 import org.apache.arrow.flight.CallStatus;
@@ -23,12 +25,18 @@
 public final class FlightStore extends Store {
     private static final Schema SCHEMA = new Schema(List.of("id", "end", "score", "report", "value").stream()
             .map(name -> Field.nullable(name, ArrowType.Utf8.INSTANCE)).toList());
+    /** Of all stand-ins: one that ended with its server would throw at what is still under way there. */
+    private static final ExecutorService POOL = Executors.newCachedThreadPool(task -> {
+        Thread thread = new Thread(task, "flight-store");
+        thread.setDaemon(true);
+        return thread;
+    });
     private final BufferAllocator allocator = new RootAllocator(8 << 20);
     private final FlightServer server;
 
     public FlightStore(String name) throws Exception {
         super(name);
-        server = FlightServer.builder(allocator, Location.forGrpcInsecure("127.0.0.1", 0), new Producer()).build()
+        server = FlightServer.builder(allocator, Location.forGrpcInsecure("127.0.0.1", 0), new Producer()).executor(POOL).build()
                 .start();
     }
 
@@ -40,6 +48,9 @@
             try (VectorSchemaRoot root = VectorSchemaRoot.create(SCHEMA, allocator)) {
                 listener.start(root);
                 boolean silent = false;
+                if (answerAfterMs > 0) {
+                    Thread.sleep(answerAfterMs);
+                }
                 for (Seen part : parts(ticket.getBytes())) {
                     Do how = take(part);
                     if (how == Do.CUT) {
--- a/src/main/java/dunlinhitch/lab/standin/FrameStore.java
+++ b/src/main/java/dunlinhitch/lab/standin/FrameStore.java
@@ -13,10 +13,12 @@
 public final class FrameStore extends Store {
     /** Connections as they came, for scripts that say something of their own. */
     public final List<NetSocket> sockets = new CopyOnWriteArrayList<>();
+    private final Vertx vertx;
     private final NetServer server;
 
     public FrameStore(Vertx vertx, String name) throws Exception {
         super(name);
+        this.vertx = vertx;
         server = vertx.createNetServer().connectHandler(this::serve).listen(0, "127.0.0.1").toCompletionStage()
                 .toCompletableFuture().get(5, TimeUnit.SECONDS);
     }
@@ -59,13 +61,22 @@
                 Row row = row(part, how);
                 Buffer frame = frame('q', Buffer.buffer(row.id() + " " + row.end() + " 1 " + row.report() + "\n")
                         .appendBytes(row.value()));
-                for (int copies = how == Do.NOTHING ? 0 : how == Do.TWICE ? 2 : 1; copies > 0; copies--) {
-                    socket.write(frame);
+                int copies = how == Do.NOTHING ? 0 : how == Do.TWICE ? 2 : 1;
+                if (answerAfterMs > 0) {
+                    vertx.setTimer(answerAfterMs, t -> write(socket, frame, copies));
+                } else {
+                    write(socket, frame, copies);
                 }
             }
         }
     }
 
+    private static void write(NetSocket socket, Buffer frame, int copies) {
+        for (int i = 0; i < copies; i++) {
+            socket.write(frame);
+        }
+    }
+
     public static Buffer frame(char letter, String rest) {
         return frame(letter, Buffer.buffer(rest));
     }
--- a/src/main/java/dunlinhitch/lab/standin/Stage.java
+++ b/src/main/java/dunlinhitch/lab/standin/Stage.java
@@ -33,6 +33,8 @@
     public Product.MembershipTimes times;
     /** What the broker logged. */
     public final List<String> log = new java.util.concurrent.CopyOnWriteArrayList<>();
+    /** Told of each line as it is logged, on the broker's loop. */
+    public java.util.function.Consumer<String> onLog = line -> { };
     /** The folder that processes of the broker share. */
     public Path scratch;
 
@@ -72,7 +74,10 @@
         CompletableFuture<Integer> port = new CompletableFuture<>();
         context.runOnContext(v -> {
             try {
-                broker = new Broker(vertx, context, config, log::add, listener);
+                broker = new Broker(vertx, context, config, line -> {
+                    log.add(line);
+                    onLog.accept(line);
+                }, listener);
                 broker.openDesk().onSuccess(desk -> adminPort = desk).compose(desk -> broker.start()).onSuccess(port::complete).onFailure(port::completeExceptionally);
             } catch (RuntimeException | Error e) {
                 port.completeExceptionally(e);
--- a/src/main/java/dunlinhitch/lab/standin/Store.java
+++ b/src/main/java/dunlinhitch/lab/standin/Store.java
@@ -43,6 +43,10 @@
     /** Checks that came; a mute store answers none. */
     public final BlockingQueue<String> checks = new LinkedBlockingQueue<>();
     public volatile boolean mute;
+    /** How long a part takes. */
+    public volatile int answerAfterMs;
+    /** When the last part came, by System.nanoTime; 0: none did. */
+    public volatile long lastSeenNanos;
     public volatile Function<Seen, Do> script = part -> Do.GOOD;
 
     protected Store(String name) {
@@ -60,6 +64,7 @@
     }
 
     protected Do take(Seen part) {
+        lastSeenNanos = System.nanoTime();
         seen.add(part);
         return script.apply(part);
     }
--- a/src/main/java/dunlinhitch/roster/RosterReader.java
+++ b/src/main/java/dunlinhitch/roster/RosterReader.java
@@ -18,9 +18,9 @@
     private final List<String> zones;
     private final Consumer<Event> events;
 
-    /** {@code zones} are the names of the settings, in order. */
+    /** {@code zones} are the names of the settings, in order; null: any will do. */
     public RosterReader(List<String> zones, Consumer<Event> events) {
-        this.zones = List.copyOf(zones);
+        this.zones = zones == null ? null : List.copyOf(zones);
         this.events = events;
     }
 
@@ -53,15 +53,20 @@
             case "ready" -> ServerState.READY;
             case "draining" -> ServerState.DRAINING;
             case "gone" -> ServerState.GONE;
-            default -> throw new IllegalArgumentException("lifecycle " + lifecycle);
+            default -> throw new IllegalArgumentException("no such state: " + lifecycle);
         };
-        int zoneIndex = zones.indexOf(zone);
-        if (name.isEmpty() || colon < 1 || port < 1 || port > 65_535 || cell < 0 || startedAtMs < 0
-                || zoneIndex < 0 && state != ServerState.GONE) {
-            throw new IllegalArgumentException("an entry without a usable name, address, cell, zone or start");
+        int zoneIndex = zones == null ? 0 : zones.indexOf(zone);
+        String wrong = name.isEmpty() ? "no id" : colon < 1 || port < 1 || port > 65_535 ? "no address: " + hostPort
+                : cell < 0 ? "no cell: " + cell : startedAtMs < 0 ? "no start: " + startedAtMs
+                : zoneIndex < 0 && state != ServerState.GONE ? "no zone of the settings: " + zone : "";
+        if (!wrong.isEmpty()) {
+            throw new IllegalArgumentException(wrong);
         }
-        StoreWire wire = protocol.isEmpty() ? StoreWire.FRAMES
-                : StoreWire.valueOf(protocol.toUpperCase(Locale.ROOT));
+        StoreWire wire = switch (protocol.toLowerCase(Locale.ROOT)) {
+            case "", "frames" -> StoreWire.FRAMES;
+            case "flight" -> StoreWire.FLIGHT;
+            default -> throw new IllegalArgumentException("no such protocol: " + protocol);
+        };
         return new StoreEntry(name, hostPort.substring(0, colon), port, Math.max(0, zoneIndex), cell, state, weight,
                 startedAtMs * 1000, wire);
     }
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -5,6 +5,7 @@
 
 import dunlinhitch.core.Effect.SendCall;
 import dunlinhitch.core.QueryAsk.PartAsk;
+import dunlinhitch.membership.Claim;
 import dunlinhitch.membership.StoreEntry;
 import dunlinhitch.decide.Routing.Limits;
 import dunlinhitch.decide.Routing.ListKind;
@@ -143,6 +144,39 @@
      * The class in front of it is dropped and its name stands for other rules: an open query is still answered in part,
      * as its class allowed when it came, and a new one is not. Guards against places in a list that has shifted.
      */
+    /** Withdrawn by its records: nothing new, in the same turn; back within the linger it keeps its number. */
+    @Test
+    void aWithdrawnStoreIsLeftAtOnceAndIsTheSameWhenItIsBack() {
+        turn(new Event.SourceNamed("dns", 1), new Event.SourceSaid("dns", true, List.of(
+                new Claim("one", store("a", 0, ServerState.READY), now, Long.MAX_VALUE),
+                new Claim("two", store("b", 1, ServerState.READY), now, Long.MAX_VALUE))));
+        int number = of(Effect.StoreChanged.class).get(0).store();
+        turn(query(1, 0, 2), new Event.SourceSaid("dns", false, List.of(Claim.back("one", now))));
+        int withdrawn = effects.indexOf(of(Effect.StoreChanged.class).get(2));
+        assertEquals(ServerState.WITHDRAWN, of(Effect.StoreChanged.class).get(2).entry().state());
+        assertTrue(effects.stream().filter(SendCall.class::isInstance).allMatch(e -> effects.indexOf(e) > withdrawn),
+                "the edge knows before it is given what the same turn still sent");
+        effects.clear();
+        for (int i = 2; i < 12; i++) {
+            now += 20_000;
+            turn(query(i, 0, 1));
+            of(SendCall.class).forEach(call -> call.parts().forEach(part -> turn(
+                    new Event.AttemptOver(part.attempt(), Outcome.OK, new float[0], "v"))));
+        }
+        assertEquals(List.of(), of(SendCall.class).stream().filter(call -> call.store() == number).toList());
+        assertTrue(!of(SendCall.class).isEmpty(), effects.toString());
+        effects.clear();
+        now += 100_000;
+        turn(new Event.SourceSaid("dns", false, List.of(new Claim("one", store("a", 0, ServerState.READY), now,
+                Long.MAX_VALUE))));
+        assertEquals(number, of(Effect.StoreChanged.class).get(0).store());
+        assertEquals(0, of(Effect.StoreChanged.class).get(0).entry().startedUs(), "no cold start");
+        turn(new Event.SourceSaid("dns", false, List.of(Claim.back("one", now))));
+        run(11 * SECOND);
+        assertEquals(1, reducer.counters().get(Count.MEMBERS_GONE));
+        assertEquals(1, reducer.figures().knownStores());
+    }
+
     @Test
     void anOpenQueryKeepsTheClassThatItCameUnder() {
         stores();
