--- a/src/main/java/dunlinhitch/lab/standin/FrameStore.java
+++ b/src/main/java/dunlinhitch/lab/standin/FrameStore.java
@@ -96,8 +96,9 @@
     }
 
     @Override
-    public void close() {
+    public void close() throws Exception {
+        // over before the loop is: a connection that is accepted after that has none to go to
+        server.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
         sockets.forEach(NetSocket::close);
-        server.close();
     }
 }
--- a/src/test/java/dunlinhitch/MainTest.java
+++ b/src/test/java/dunlinhitch/MainTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dunlinhitch.lab.dns.Responder;
+import dunlinhitch.lab.dns.Zone;
 import dunlinhitch.lab.standin.Discovery;
 import io.vertx.core.Vertx;
 import java.io.BufferedReader;
@@ -84,6 +86,35 @@
         return lines;
     }
 
+    /** What records mean, as the command says it: all well, a contradiction, nobody there. */
+    @Test
+    void recordsAreShownWithWhatIsWrong() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        Zone zone = new Zone("example.org.");
+        String service = "_calendar._tcp.example.org.";
+        java.io.PrintStream before = System.out;
+        java.io.ByteArrayOutputStream out = new java.io.ByteArrayOutputStream();
+        try (Responder responder = new Responder(vertx, zone)) {
+            String[] command = {"records", "--server", "127.0.0.1:" + responder.port(), "--service", service, "--within", "5"};
+            zone.change(List.of(), Zone.store(service, "East", "127.0.0.1", 7001, 60, "id=s-1", "cell=0", "zone=a"));
+            System.setOut(new java.io.PrintStream(out, true));
+            assertEquals(0, Main.commandLine().execute(command));
+            assertTrue(out.toString().contains("127.0.0.1:7001") && out.toString().contains("live"), out.toString());
+            zone.change(List.of(), Zone.store(service, "West", "127.0.0.1", 7002, 60, "id=s-1", "cell=0", "zone=a"));
+            zone.change(List.of(), Zone.store(service, "South", "127.0.0.1", 7003, 60, "cell=0", "zone=a"));
+            out.reset();
+            assertEquals(1, Main.commandLine().execute(command));
+            assertTrue(out.toString().contains("two claims name other addresses"), out.toString());
+            assertTrue(out.toString().contains("instance \"South\" is of no use: its TXT record has no id"), out.toString());
+            responder.script = question -> Responder.Fault.LOST;
+            assertTrue(complaint("records", "--server", "127.0.0.1:" + responder.port(), "--service", service, "--within",
+                    "1").contains("no answer from 127.0.0.1:" + responder.port()));
+        } finally {
+            System.setOut(before);
+            vertx.close();
+        }
+    }
+
     /** With neither front nor store that speaks it, no class of Arrow may cost memory; SIGTERM ends in exit code 0. */
     @Test
     void aBrokerWithoutFlightLoadsNoArrowAndEndsOnRequest() throws Exception {
@@ -102,7 +133,10 @@
             assertTrue(broker.waitFor(10, TimeUnit.SECONDS));
             assertEquals(0, broker.exitValue());
             assertTrue(lines.contains("queries_taken 0"), "counters are printed at exit");
-            assertFalse(lines.stream().anyMatch(l -> l.contains("org.apache.arrow")));
+            for (String off : List.of("org.apache.arrow", "org.xbill", "org.bouncycastle", "org.apache.commons.text",
+                    "dunlinhitch.lab", "dunlinhitch.conf.", "dunlinhitch.roster.dnssd", "dunlinhitch.RecordSources")) {
+                assertFalse(lines.stream().anyMatch(l -> l.contains(off)), "loaded, though nothing asks for it: " + off);
+            }
         } finally {
             vertx.close();
         }
--- a/src/test/java/dunlinhitch/PackagesTest.java
+++ b/src/test/java/dunlinhitch/PackagesTest.java
@@ -49,6 +49,18 @@
         assertEquals(Map.of(), wrong);
     }
 
+    /** What measures and stands in is no part of what serves. */
+    @Test
+    void nothingThatServesKnowsTheLab() throws IOException {
+        List<Path> wrong = new java.util.ArrayList<>();
+        for (Path file : sources(ROOT)) {
+            if (!file.startsWith(ROOT.resolve("lab")) && Files.readString(file).contains("import dunlinhitch.lab")) {
+                wrong.add(file);
+            }
+        }
+        assertEquals(List.of(), wrong);
+    }
+
     private static List<Path> sources(Path folder) throws IOException {
         try (Stream<Path> files = Files.walk(folder)) {
             return files.filter(f -> f.toString().endsWith(".java")).toList();
--- a/src/test/java/dunlinhitch/dispatch/flight/FlightTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/flight/FlightTransportTest.java
@@ -24,6 +24,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** The Flight way to one store against a scripted peer: what the rule checks can not see from outside. */
 class FlightTransportTest {
@@ -80,13 +82,14 @@
     }
 
     /** No call is made before the channel is up, so what waited for it is proved not to have run. */
-    @Test
-    void whatNeverGotAConnectionNeverRan() throws Exception {
+    @ParameterizedTest
+    @EnumSource(value = ServerState.class, names = {"GONE", "WITHDRAWN"})
+    void whatNeverGotAConnectionNeverRan(ServerState told) throws Exception {
         int port = store.port();
         Transport transport = open(port);
         onLoop(() -> {
             transport.call(List.of(part(1, 0)));
-            transport.state(ServerState.GONE);
+            transport.state(told);
             transport.call(List.of(part(2, 0)));
         });
         expect(1, Outcome.CONNECT_FAILED);
--- a/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
@@ -28,6 +28,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** The way to one store against a scripted peer. */
 class FrameTransportTest {
@@ -196,11 +198,12 @@
     }
 
     /** A send that waits for its connection must not leave once the store is known to drain. */
-    @Test
-    void whatWaitsForAConnectionIsDroppedWhenTheStoreDrains() throws Exception {
+    @ParameterizedTest
+    @EnumSource(value = ServerState.class, names = {"DRAINING", "WITHDRAWN"})
+    void whatWaitsForAConnectionIsDroppedWhenTheStoreDrains(ServerState told) throws Exception {
         onLoop(() -> {
             transport.call(List.of(part(1, 0)));
-            transport.state(ServerState.DRAINING);
+            transport.state(told);
             transport.call(List.of(part(2, 0)));
         });
         assertEquals(Outcome.CONNECT_FAILED, next().outcome());
