Twenty thousand broken messages each way; a pushed record without data ends the session

Cause: a pushed record whose data can not be read came back from dnsjava as null and would have been taken as a record. Change: it ends the session, as any message that can not be read.

--- a/src/main/java/dunlinhitch/roster/dnssd/Dso.java
+++ b/src/main/java/dunlinhitch/roster/dnssd/Dso.java
@@ -139,8 +139,11 @@
                 changes.add(new PushChange(true, key, null));
             } else if (ttl == REMOVE_ONE || ttl <= MOST_TTL) {
                 boolean removed = ttl == REMOVE_ONE;
-                changes.add(new PushChange(removed, key,
-                        Record.newRecord(name, type, DClass.IN, removed ? 0 : ttl, data.length, data)));
+                Record record = Record.newRecord(name, type, DClass.IN, removed ? 0 : ttl, data.length, data);
+                if (record == null) {
+                    throw new WireParseException("a record whose data can not be read");
+                }
+                changes.add(new PushChange(removed, key, record));
             } else {
                 throw new WireParseException("a TTL without a meaning");
             }
--- a/src/test/java/dunlinhitch/roster/dnssd/RecordsTest.java
+++ b/src/test/java/dunlinhitch/roster/dnssd/RecordsTest.java
@@ -229,6 +229,67 @@
         assertEquals(3, claims.size());
     }
 
+    /** Good messages with a few bytes changed, cut or doubled: each is turned down or taken, none throws. */
+    @Test
+    void brokenMessagesByTheThousandAreTurnedDown() throws Exception {
+        zone.change(List.of(), store("one", 7001));
+        zone.change(List.of(), store("two", 7002, "state=draining"));
+        settle(records);
+        SplittableRandom random = new SplittableRandom(9);
+        int taken = 0;
+        for (int i = 0; i < 20_000; i++) {
+            now += S;
+            records.reask(now, true);
+            for (Question question : records.due(now)) {
+                Message query = Message.newQuery(question.record());
+                byte[] bytes = zone.answer(query).toWire(65_535);
+                for (int change = random.nextInt(1, 4); change > 0; change--) {
+                    bytes[random.nextInt(2, bytes.length)] = (byte) random.nextInt(256);
+                }
+                if (random.nextInt(4) == 0) {
+                    bytes = java.util.Arrays.copyOf(bytes, random.nextInt(bytes.length + 20));
+                }
+                Message answer = Resolver.read(query, bytes);
+                if (answer == null) {
+                    records.failed(now, question);
+                } else {
+                    taken++;
+                    records.answered(now, question, answer);
+                }
+            }
+            take(records);
+        }
+        assertTrue(taken > 100, "some could be read all the same: " + taken);
+        Record one = store("one", 7001).get(1);
+        byte[] push = message(Dso.write(new Head(0, false, 0), Dso.push(List.of(
+                new PushChange(false, new Question(one.getName(), Type.SRV), one),
+                new PushChange(true, new Question(one.getName(), Type.TXT), null)))));
+        int closed = 0;
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bytes = push.clone();
+            for (int change = random.nextInt(1, 4); change > 0; change--) {
+                bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+            }
+            PushDialogue dialogue = new PushDialogue(random, now);
+            dialogue.passed(now);
+            dialogue.connected(now);
+            for (Action action : dialogue.received(now, bytes)) {
+                closed += action instanceof PushDialogue.Close ? 1 : 0;
+                if (action instanceof PushDialogue.Pushed pushed) {
+                    for (PushChange change : pushed.changes()) {
+                        if (change.removed()) {
+                            records.removed(now, change.key(), change.record());
+                        } else {
+                            records.added(now, change.record());
+                        }
+                    }
+                }
+            }
+        }
+        take(records);
+        assertTrue(closed > 1_000, "most end the session: " + closed);
+    }
+
     // ---- push
 
     private static List<byte[]> sent(List<Action> actions) {
