--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -23,6 +23,7 @@
 import dunlinhitch.intake.http.HttpFront;
 import dunlinhitch.decide.Routing;
 import dunlinhitch.membership.MembershipSettings;
+import dunlinhitch.phases.PhaseSettings;
 import dunlinhitch.roster.RosterReader;
 import dunlinhitch.roster.Source;
 import dunlinhitch.roster.Watch;
@@ -101,7 +102,7 @@
         this.config = config;
         shared = listener != null && listener.isShared();
         this.log = log;
-        reducer = new Reducer(config.settings(), membership(config), config.seed(), startUs);
+        reducer = new Reducer(config.settings(), membership(config), phases(config), config.seed(), startUs);
         loop = new Loop(vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(reducer::settings);
@@ -159,6 +160,23 @@
                 times.staleForUs(), times.holdUs(), times.holdMostUs(), times.calmUs());
     }
 
+    /** Only of classes that are safe to repeat: a first pass is asked beside the full one. */
+    private static List<PhaseSettings> phases(Config config) {
+        List<PhaseSettings> all = new ArrayList<>();
+        for (Product.Phase p : config.product().phases()) {
+            Routing.QueryClass kind = config.settings().classes().stream().filter(c -> c.name().equals(p.queryClass()))
+                    .findFirst().orElseThrow(() -> new Config.ConfigException("[phases " + p.queryClass()
+                            + "]: the settings have no such class; there is " + config.settings().classes().stream()
+                                    .map(Routing.QueryClass::name).toList()));
+            if (kind.repeat() != Routing.Repeat.FREE) {
+                throw new Config.ConfigException("[phases " + p.queryClass()
+                        + "]: the class is not safe to repeat, and only such go in two phases");
+            }
+            all.add(new PhaseSettings(p.queryClass(), p.share(), p.least(), p.trial(), p.audit(), p.margin(), p.closeUs()));
+        }
+        return all;
+    }
+
     /** Listens for operators, where they have an address, before clients are let in; the result is its port, or 0. */
     public Future<Integer> openDesk() {
         return admin == null ? Future.succeededFuture(0)
--- a/src/main/java/dunlinhitch/conf/Block.java
+++ b/src/main/java/dunlinhitch/conf/Block.java
@@ -56,6 +56,11 @@
         return Values.durationUs(text(name));
     }
 
+    /** From 0 to 1. */
+    public double share(String name) {
+        return Values.share(text(name));
+    }
+
     /** In bytes. */
     public long size(String name) {
         return Values.size(text(name));
--- a/src/main/java/dunlinhitch/conf/Schema.java
+++ b/src/main/java/dunlinhitch/conf/Schema.java
@@ -14,7 +14,7 @@
     /** What the words of a directive are. */
     public enum Kind {
         TEXT("a word"), SWITCH("on or off"), COUNT("a whole number"), DURATION("a time such as 250ms, 10s, 5m or 1h"),
-        SIZE("a size such as 512, 64k or 16m"), ADDRESS("HOST:PORT"), PATH("a file or folder");
+        SIZE("a size such as 512, 64k or 16m"), PERCENT("a share such as 30% or 2.5%"), ADDRESS("HOST:PORT"), PATH("a file or folder");
 
         private final String words;
 
--- a/src/main/java/dunlinhitch/conf/Values.java
+++ b/src/main/java/dunlinhitch/conf/Values.java
@@ -38,6 +38,11 @@
                     throw directive.wrong(word, name + " is a size such as 64k (" + units(SIZES) + "), not " + text);
                 }
             }
+            case PERCENT -> {
+                if (share(text) < 0) {
+                    throw directive.wrong(word, name + " is a share from 0% to 100%, not " + text);
+                }
+            }
             case ADDRESS -> {
                 int colon = text.lastIndexOf(':');
                 boolean port = colon > 0 && text.substring(colon + 1).matches("[0-9]{1,5}")
@@ -63,6 +68,12 @@
         return with(TIMES, text);
     }
 
+    /** From 0 to 1, or below 0 where it is no share. */
+    static double share(String text) {
+        double share = text.matches("[0-9]{1,3}(\\.[0-9]{1,6})?%") ? Double.parseDouble(text.substring(0, text.length() - 1)) / 100 : -1;
+        return share > 1 ? -1 : share;
+    }
+
     /** Bytes, or below 0 where it is no size. */
     static long size(String text) {
         return with(SIZES, text);
--- a/src/main/java/dunlinhitch/config/Product.java
+++ b/src/main/java/dunlinhitch/config/Product.java
@@ -16,15 +16,21 @@
  * @param announcement where the broker announces itself, or null
  * @param stateDir where the last known state is kept, or null
  * @param membership its times, or null for the standard
+ * @param phases classes whose queries may go in two phases
  */
 public record Product(Address flight, boolean discovery, List<DnsService> dnsSd, Announcement announcement, Path stateDir,
-        MembershipTimes membership) {
-    public static final Product NONE = new Product(null, true, List.of(), null, null, null);
+        MembershipTimes membership, List<Phase> phases) {
+    public static final Product NONE = new Product(null, true, List.of(), null, null, null, List.of());
     /** The form of this file that came before. */
     private static final String OLD = "fronts.json";
 
     public Product {
         dnsSd = List.copyOf(dnsSd);
+        phases = List.copyOf(phases);
+    }
+
+    /** A class whose queries may go in two phases; shares are from 0 to 1. */
+    public record Phase(String queryClass, double share, int least, double trial, double audit, double margin, long closeUs) {
     }
 
     /**
@@ -81,6 +87,11 @@
                     + s.push().port()).append(s.soaEveryUs() > 0 ? ", serial every " + s.soaEveryUs() / 1000 + " ms" : "")
                     .append('\n');
         }
+        for (Phase p : phases) {
+            out.append("phases ").append(p.queryClass()).append(": first pass within ").append(Math.round(100 * p.share()))
+                    .append(" % of the time, from ").append(p.least()).append(" blocks on, audit ")
+                    .append(100 * p.audit()).append(" %, trial ").append(100 * p.trial()).append(" %\n");
+        }
         if (announcement != null) {
             out.append("announce: ").append(announcement.instance()).append(" as ").append(announcement.service())
                     .append(" at ").append(announcement.server().host()).append(':').append(announcement.server().port())
--- a/src/main/java/dunlinhitch/config/ProductReader.java
+++ b/src/main/java/dunlinhitch/config/ProductReader.java
@@ -41,6 +41,13 @@
                 .may("hold", Kind.DURATION, "500ms", "what the second return within calm waits; each further one twice")
                 .may("hold_most", Kind.DURATION, "30s", "the longest that a return waits")
                 .may("calm", Kind.DURATION, "1m", "after so long without a withdrawal returns are free again");
+        schema.part("phases", true)
+                .may("share", Kind.PERCENT, "30%", "of the time to the aim, the most that the first pass may take")
+                .may("least", Kind.COUNT, "3", "with fewer blocks a query goes in one phase")
+                .may("trial", Kind.PERCENT, "2%", "of queries that try two phases while it does not seem to pay")
+                .may("audit", Kind.PERCENT, "2%", "of spared blocks that are asked in full all the same")
+                .may("margin", Kind.PERCENT, "5%", "of the work that must be saved for it to pay")
+                .may("close_for", Kind.DURATION, "1m", "how long it is closed after a block was spared that had something");
         schema.part("announce", false)
                 .required("server", Kind.ADDRESS, "the zone's primary server")
                 .required("zone", Kind.TEXT, "the zone that is updated")
@@ -63,10 +70,12 @@
             Product.MembershipTimes times = null;
             Product.Announcement announcement = null;
             List<Product.DnsService> services = new ArrayList<>();
+            List<Product.Phase> phases = new ArrayList<>();
             for (Block block : schema().read(file)) {
                 switch (block.kind()) {
                     case "flight" -> flight = address(block, "listen");
                     case "dns_sd" -> services.add(service(block));
+                    case "phases" -> phases.add(phase(block));
                     case "membership" -> times = times(block);
                     case "announce" -> announcement = announcement(block);
                     default -> {
@@ -78,7 +87,7 @@
             if (!discovery && services.isEmpty()) {
                 throw new ConfException(file, "discovery is off and there is no [dns_sd NAME]: no store would ever be known");
             }
-            return new Product(flight, discovery, services, announcement, state, times);
+            return new Product(flight, discovery, services, announcement, state, times, phases);
         } catch (ConfException e) {
             throw new Config.ConfigException(e.getMessage());
         }
@@ -125,6 +134,17 @@
                 block.durationUs("hold"), block.durationUs("hold_most"), block.durationUs("calm"));
     }
 
+    private static Product.Phase phase(Block block) {
+        if (block.share("share") <= 0 || block.share("share") >= 1) {
+            throw block.wrong("share", "is above 0% and below 100%");
+        }
+        if (block.count("least") < 2) {
+            throw block.wrong("least", "is 2 or more: one block has no first pass");
+        }
+        return new Product.Phase(block.label(), block.share("share"), (int) block.count("least"), block.share("trial"),
+                block.share("audit"), block.share("margin"), block.durationUs("close_for"));
+    }
+
     private static Product.Announcement announcement(Block block) {
         Address address = address(block, "address");
         if (!isIp(address.host())) {
--- a/src/main/java/dunlinhitch/core/Answer.java
+++ b/src/main/java/dunlinhitch/core/Answer.java
@@ -8,10 +8,15 @@
     record PartValue(int shard, String value) {
     }
 
-    /** Served, marked whole or not. */
-    record Served(boolean whole, List<PartValue> parts) implements Answer {
+    /** Served, marked whole or not; {@code pruned}: shards whose store said first that they have nothing, null where nobody asked. */
+    record Served(boolean whole, List<PartValue> parts, List<Integer> pruned) implements Answer {
         public Served {
             parts = List.copyOf(parts);
+            pruned = pruned == null ? null : List.copyOf(pruned);
+        }
+
+        public Served(boolean whole, List<PartValue> parts) {
+            this(whole, parts, null);
         }
     }
 
--- a/src/main/java/dunlinhitch/core/Effect.java
+++ b/src/main/java/dunlinhitch/core/Effect.java
@@ -5,11 +5,17 @@
 
 /** Reading or writing that the {@link Reducer} asks of an edge. */
 public sealed interface Effect {
-    /** What a store is sent for one part; {@code dueUs} is when the broker stops waiting for it. */
-    record PartSend(long attempt, String partId, int shard, String key, long dueUs, String text) {
+    /**
+     * What a store is sent for one part; {@code dueUs} is when the broker stops waiting for it; {@code first}: it is only
+     * asked whether there is anything.
+     */
+    record PartSend(long attempt, String partId, int shard, String key, long dueUs, String text, boolean first) {
+        public PartSend(long attempt, String partId, int shard, String key, long dueUs, String text) {
+            this(attempt, partId, shard, key, dueUs, text, false);
+        }
     }
 
-    /** One call: parts that travel to a store together. */
+    /** One call: parts that travel to a store together, all of one phase. */
     record SendCall(int store, List<PartSend> parts) implements Effect {
         public SendCall {
             parts = List.copyOf(parts);
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -28,6 +28,10 @@
         }
     }
 
+    /** A first answer came: how many records the block has, its data's version, and the value that stands for none. */
+    record FirstCame(long attempt, float[] report, long records, String version, String emptyValue) implements Event {
+    }
+
     /** So many attempts of a call have been written whole to a store. */
     record TriesWritten(int tries) implements Event {
     }
--- /dev/null
+++ b/src/main/java/dunlinhitch/core/PhaseStage.java
@@ -0,0 +1,343 @@
+package dunlinhitch.core;
+
+import dunlinhitch.core.Tables.AttemptRow;
+import dunlinhitch.core.Tables.PartRow;
+import dunlinhitch.core.Tables.QueryRow;
+import dunlinhitch.core.Tables.StoreRow;
+import dunlinhitch.decide.Routing;
+import dunlinhitch.decide.Routing.QueryClass;
+import dunlinhitch.decide.Routing.Repeat;
+import dunlinhitch.decide.Routing.ServerState;
+import dunlinhitch.decide.Routing.Settings;
+import dunlinhitch.phases.PhaseSettings;
+import dunlinhitch.phases.Phases;
+import dunlinhitch.phases.Plan;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * The reducer's stage for queries in two phases: what {@link Phases} decides becomes legs, which are queries of the
+ * decisions' own, and what the legs come to becomes the one answer. docs/phases.md has the rules.
+ */
+final class PhaseStage {
+    private static final String FIRST = "#first";
+
+    /** How the decisions ended a leg. */
+    enum End { ANSWERED, REFUSED, FAILED }
+
+    /** What this needs of the reducer. */
+    interface Host {
+        long now();
+
+        Settings settings();
+
+        int classOf(String name);
+
+        int newNumber();
+
+        /** Tells the decisions, outside of their own actions. */
+        void tell(Routing.Event event);
+
+        /** Does it as soon as the decisions have done with the present event. */
+        void later(Runnable task);
+
+        void wakeFor(long atUs, int query);
+
+        /** Ends what is out for a part. */
+        void endAttempts(PartRow part);
+
+        void reply(QueryRow q, Answer answer, Count what);
+
+        void giveUp(QueryRow q);
+
+        void log(String text);
+    }
+
+    /** One client's query on its way in legs. */
+    private static final class Split {
+        private final QueryRow q;
+        private final Plan plan;
+        private final Map<Integer, PartRow> first = new LinkedHashMap<>();
+        private final Map<Integer, Phases.First> answers = new HashMap<>();
+        private final Set<Integer> pruned = new HashSet<>();
+        private final Set<Integer> audited = new HashSet<>();
+        private final Set<Integer> legs = new HashSet<>();
+        private int firstLeg;
+        private boolean refused;
+        private long comeBackUs;
+
+        Split(QueryRow q, Plan plan) {
+            this.q = q;
+            this.plan = plan;
+        }
+    }
+
+    private final Host host;
+    private final Tables tables;
+    private final Counters counters;
+    private final Phases phases;
+    private final List<PhaseSettings> settings;
+    private final Map<Integer, Split> splits = new HashMap<>();
+    private final Map<Integer, Split> byLeg = new HashMap<>();
+    /** For each cell whether it has stores of two phases only; made anew when the roster changes. */
+    private boolean[] able = {};
+    private long ableVersion = -1;
+
+    PhaseStage(Collection<PhaseSettings> settings, RandomGenerator random, Host host, Tables tables, Counters counters) {
+        this.settings = List.copyOf(settings);
+        this.host = host;
+        this.tables = tables;
+        this.counters = counters;
+        phases = new Phases(settings, random);
+    }
+
+    /** What the decisions are told the settings are: beside each class in two phases one for its first pass. */
+    Settings seenByDecisions(Settings told) {
+        List<QueryClass> classes = new ArrayList<>(told.classes());
+        for (PhaseSettings phase : settings) {
+            told.classes().stream().filter(kind -> kind.name().equals(phase.queryClass())).findFirst()
+                    .ifPresent(kind -> classes.add(new QueryClass(kind.name() + FIRST, kind.aimUs(), 0, kind.deadlineUs(),
+                            Repeat.FREE, 0, 0, kind.worth(), false, 0, 0, 1, 1)));
+        }
+        return told.withClasses(classes);
+    }
+
+    private int firstClassOf(String name) {
+        int at = host.settings().classes().size();
+        for (PhaseSettings phase : settings) {
+            if (host.classOf(phase.queryClass()) >= 0) {
+                if (phase.queryClass().equals(name)) {
+                    return at;
+                }
+                at++;
+            }
+        }
+        return -1;
+    }
+
+    Phases phases() {
+        return phases;
+    }
+
+    // ---- the way of a query
+
+    /** True where the query goes in legs; else the decisions get it as it is. */
+    boolean opens(QueryRow q) {
+        String name = q.ask.kind().name();
+        if (!phases.isSet(name) || q.ask.kind().repeat() != Repeat.FREE) {
+            return false;
+        }
+        List<Integer> shards = q.parts.stream().map(part -> part.ask.shard()).toList();
+        Set<Integer> may = new HashSet<>();
+        shards.stream().filter(this::isAble).forEach(may::add);
+        long until = Math.min(q.ask.deadlineUs(), host.now() + q.ask.kind().aimUs());
+        Plan plan = phases.arrived(host.now(), name, shards, may, q.ask.text(), until);
+        counters.add(plan.twoPhases() ? Count.QUERIES_IN_TWO_PHASES : Count.QUERIES_IN_ONE_PHASE);
+        if (!plan.twoPhases()) {
+            return false;
+        }
+        Split s = new Split(q, plan);
+        splits.put(q.number, s);
+        List<PartRow> atOnce = new ArrayList<>();
+        for (PartRow part : q.parts) {
+            if (plan.first().contains(part.ask.shard())) {
+                part.first = true;
+                s.first.put(part.ask.shard(), part);
+            } else {
+                atOnce.add(part);
+            }
+        }
+        open(s, firstClassOf(name), List.copyOf(s.first.values()), plan.firstEndUs(), true);
+        if (!atOnce.isEmpty() && splits.containsKey(q.number)) {
+            open(s, host.classOf(name), atOnce, q.ask.deadlineUs(), false);
+        }
+        host.wakeFor(plan.firstEndUs(), q.number);
+        return true;
+    }
+
+    /** A query of the decisions' own for some of the parts; weights are scaled to 1. */
+    private void open(Split s, int queryClass, List<PartRow> parts, long deadlineUs, boolean first) {
+        int leg = host.newNumber();
+        s.firstLeg = first ? leg : s.firstLeg;
+        s.legs.add(leg);
+        byLeg.put(leg, s);
+        double weight = parts.stream().mapToDouble(part -> part.ask.weight()).sum();
+        long hint = !first ? parts.stream().mapToLong(part -> part.ask.hintUs()).sum() : 0;
+        host.tell(new Routing.QueryArrived(leg, leg, queryClass, 0, parts.size(), deadlineUs, hint, s.q.ask.repeat()));
+        for (PartRow part : parts) {
+            double share = weight > 0 ? part.ask.weight() / weight : 1.0 / parts.size();
+            host.tell(new Routing.PartArrived(part.number, leg, part.ask.shard(), share, first ? 0 : part.ask.hintUs()));
+        }
+    }
+
+    /** Every store that holds the shard and may get something new can say first, and there is one. */
+    private boolean isAble(int shard) {
+        int cells = host.settings().layout().cells();
+        if (ableVersion != tables.storesVersion || able.length != cells) {
+            boolean[] two = new boolean[cells];
+            boolean[] one = new boolean[cells];
+            for (StoreRow row : tables.stores.values()) {
+                if (row.state() != ServerState.GONE && row.state() != ServerState.WITHDRAWN) {
+                    (row.entry.phases() >= 2 ? two : one)[Math.floorMod(row.entry.cell(), cells)] = true;
+                }
+            }
+            able = new boolean[cells];
+            for (int position = 0; position < cells; position++) {
+                boolean any = false;
+                boolean all = true;
+                for (int j = 0; j < host.settings().layout().inARow(); j++) {
+                    any |= two[(position + j) % cells];
+                    all &= !one[(position + j) % cells];
+                }
+                able[position] = any && all;
+            }
+            ableVersion = tables.storesVersion;
+        }
+        return able[Math.floorMod(shard, cells)];
+    }
+
+    /** The decisions have ended one of their queries; false where it is no leg. */
+    boolean ended(int leg, End how, long comeBackUs) {
+        if (!byLeg.containsKey(leg)) {
+            return false;
+        }
+        host.later(() -> legOver(leg, how, comeBackUs));
+        return true;
+    }
+
+    private void legOver(int leg, End how, long comeBackUs) {
+        Split s = byLeg.remove(leg);
+        if (s == null) {
+            return;
+        }
+        s.legs.remove(leg);
+        boolean refused = how == End.REFUSED;
+        s.refused |= refused;
+        s.comeBackUs = Math.max(s.comeBackUs, comeBackUs);
+        if (leg != s.firstLeg) {
+            finish(s);
+        } else if (refused && s.answers.isEmpty() && s.first.values().stream().allMatch(part -> part.attempts == 0)) {
+            // turned away before anything was done: that is the word on the whole of it
+            s.firstLeg = 0;
+            host.reply(s.q, new Answer.Refused(comeBackUs), Count.REFUSED);
+        } else {
+            firstOver(s);
+        }
+    }
+
+    /** The moment of the first pass's end; what it has not brought by then it does not bring. */
+    void firstDue(int query) {
+        Split s = splits.get(query);
+        if (s != null && s.firstLeg != 0) {
+            int leg = s.firstLeg;
+            byLeg.remove(leg);
+            s.legs.remove(leg);
+            host.tell(new Routing.ClientLeft(leg));
+            firstOver(s);
+        }
+    }
+
+    /** A first answer, of an attempt that was still waited for. */
+    void firstCame(AttemptRow row, Event.FirstCame e) {
+        Split s = splits.get(row.part().query.number);
+        if (s != null && row.first()) {
+            Phases.First answer = new Phases.First(e.records(), e.version(), e.emptyValue());
+            s.answers.put(row.part().ask.shard(), answer);
+            phases.firstCame(host.now(), s.q.ask.kind().name(), row.part().ask.shard(), s.q.ask.text(), answer,
+                    host.now() - row.sentUs());
+        }
+    }
+
+    /** A full answer, of whatever query. */
+    void fullCame(AttemptRow row, String value) {
+        QueryRow q = row.part().query;
+        String name = q.ask.kind().name();
+        if (!phases.isSet(name)) {
+            return;
+        }
+        phases.fullCame(host.now(), name, host.now() - row.sentUs());
+        Split s = splits.get(q.number);
+        int shard = row.part().ask.shard();
+        if (s != null && s.audited.remove(shard)) {
+            boolean same = s.answers.get(shard).emptyValue().equals(value);
+            counters.add(same ? Count.AUDITS_GOOD : Count.AUDITS_BAD);
+            if (phases.audited(host.now(), name, shard, same)) {
+                host.log("pruning is closed for " + name + ": shard " + shard + " had something after store "
+                        + row.store().entry.name() + " or another had said that it has nothing");
+            }
+        }
+    }
+
+    private void firstOver(Split s) {
+        s.firstLeg = 0;
+        if (s.answers.size() < s.first.size()) {
+            counters.add(Count.FIRST_PASSES_LATE); // or failed: blocks without an answer are asked in full
+        }
+        s.first.values().forEach(host::endAttempts);
+        Phases.Outcome outcome = phases.over(host.now(), s.q.ask.kind().name(), s.q.ask.text(), s.first.keySet(), s.answers);
+        s.audited.addAll(outcome.audited());
+        for (int shard : outcome.pruned()) {
+            s.first.get(shard).value = s.answers.get(shard).emptyValue();
+            s.pruned.add(shard);
+        }
+        counters.add(Count.BLOCKS_PRUNED, outcome.pruned().size());
+        List<PartRow> full = new ArrayList<>();
+        for (int shard : outcome.full()) {
+            PartRow part = s.first.get(shard);
+            tables.renumber(part, host.newNumber());
+            full.add(part);
+        }
+        if (!full.isEmpty()) {
+            open(s, host.classOf(s.q.ask.kind().name()), full, s.q.ask.deadlineUs(), false);
+        }
+        finish(s);
+    }
+
+    /** All legs are over: what is in, pruned or full, is the answer, if it is enough for one. */
+    private void finish(Split s) {
+        if (s.firstLeg != 0 || !s.legs.isEmpty() || splits.get(s.q.number) != s) {
+            return;
+        }
+        List<Answer.PartValue> in = new ArrayList<>();
+        double weight = 0;
+        for (PartRow part : s.q.parts) {
+            if (part.value != null) {
+                in.add(new Answer.PartValue(part.ask.shard(), part.value));
+                weight += part.ask.weight();
+            }
+        }
+        QueryClass kind = s.q.ask.kind();
+        if (!in.isEmpty() && weight >= kind.floor() - Reducer.WEIGHT_SLACK) {
+            boolean whole = weight >= kind.need() - Reducer.WEIGHT_SLACK;
+            List<Integer> pruned = s.q.ask.showPruned() ? s.pruned.stream().sorted().toList() : null;
+            host.reply(s.q, new Answer.Served(whole, in, pruned), whole ? Count.ANSWERED_WHOLE : Count.ANSWERED_PARTLY);
+        } else if (s.refused) {
+            host.reply(s.q, new Answer.Refused(s.comeBackUs), Count.REFUSED);
+        } else {
+            host.giveUp(s.q);
+        }
+    }
+
+    /** The query is over for its client: the decisions are told of what was still open of it. */
+    void closed(QueryRow q) {
+        Split s = splits.remove(q.number);
+        if (s != null) {
+            for (int leg : s.legs) {
+                byLeg.remove(leg);
+                host.later(() -> host.tell(new Routing.ClientLeft(leg)));
+            }
+        }
+    }
+
+    /** Queries that are on their way in legs. */
+    int open() {
+        return splits.size();
+    }
+}
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -14,12 +14,17 @@
 import dunlinhitch.decide.Routing.Settings;
 import dunlinhitch.membership.Membership;
 import dunlinhitch.membership.MembershipSettings;
+import dunlinhitch.phases.PhaseSettings;
+import dunlinhitch.phases.Phases;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.SplittableRandom;
 
 /**
  * Takes every change of a broker's state, a turn at a time: events in, effects out, no reading or writing of its own.
@@ -27,13 +32,15 @@
  * decisions, sees that each send gets exactly one end, and is the last guard of the rules.
  */
 public final class Reducer {
-    private static final double WEIGHT_SLACK = 0.0001;
+    static final double WEIGHT_SLACK = 0.0001;
+    /** Of both phases the full one leaves first. */
+    private static final boolean[] ONE_AFTER_THE_OTHER = {false, true};
 
     /** What falls due by itself. Rows that are gone by then are passed over. */
     private record Due(long atUs, long order, DueKind kind, long id) {
     }
 
-    private enum DueKind { ALARM, ATTEMPT, PROBE, QUERY, ALONE }
+    private enum DueKind { ALARM, ATTEMPT, PROBE, QUERY, ALONE, FIRST_PASS }
 
     private Settings settings;
     private final Policy policy;
@@ -41,6 +48,11 @@
     private final Counters counters = new Counters();
     private final Tallies tallies = new Tallies();
     private final RosterStage roster;
+    /** Null where no class goes in two phases. */
+    private final PhaseStage phases;
+    /** What waits for the decisions to have done with an event. */
+    private final Deque<Runnable> afterwards = new ArrayDeque<>();
+    private boolean deciding;
     private final PriorityQueue<Due> dues =
             new PriorityQueue<>(Comparator.comparingLong(Due::atUs).thenComparingLong(Due::order));
     private final List<Routing.Event> owed = new ArrayList<>();
@@ -58,17 +70,29 @@
     private boolean finished;
 
     public Reducer(Settings settings, long seed, long nowUs) {
-        this(settings, null, seed, nowUs);
+        this(settings, null, List.of(), seed, nowUs);
     }
 
-    /** {@code membership} null: the defaults for the layout. */
-    public Reducer(Settings settings, MembershipSettings membership, long seed, long nowUs) {
+    /** {@code membership} null: the defaults for the layout; {@code inTwoPhases}: classes that go so where it pays. */
+    public Reducer(Settings settings, MembershipSettings membership, List<PhaseSettings> inTwoPhases, long seed,
+            long nowUs) {
         this.settings = settings;
         now = nowUs;
         roster = new RosterStage(settings, membership, nowUs, tables, counters, effect -> effects.add(effect), this::tell);
+        phases = inTwoPhases.isEmpty() ? null
+                : new PhaseStage(inTwoPhases, new SplittableRandom(seed), new ForPhases(), tables, counters);
         settings.classes().forEach(kind -> tallies.known(kind.name()));
-        policy = new Policy(settings, seed, new Acts());
-        policy.on(now, new Routing.Start());
+        policy = new Policy(seenByDecisions(), seed, new Acts());
+        tell(new Routing.Start());
+    }
+
+    private Settings seenByDecisions() {
+        return phases == null ? settings : phases.seenByDecisions(settings);
+    }
+
+    /** What was learnt of two phases, for operators; empty where there are none. */
+    public List<Phases.Shown> phases() {
+        return phases == null ? List.of() : phases.phases().shown(now);
     }
 
     public Counters counters() {
@@ -139,6 +163,12 @@
             if (row != null) {
                 tell(end(row, e.outcome(), e.report(), e.value()));
             }
+        } else if (event instanceof Event.FirstCame e) {
+            AttemptRow row = tables.attempts.get(e.attempt());
+            if (row != null && phases != null) {
+                phases.firstCame(row, e);
+                tell(end(row, Outcome.OK, e.report(), null));
+            }
         } else if (event instanceof Event.TriesWritten e) {
             counters.add(Count.ATTEMPTS_WRITTEN, e.tries());
         } else if (event instanceof Event.ProbeOver e) {
@@ -175,12 +205,18 @@
 
     /** A fault in the decisions must not end the broker: what it leaves open is ended when its time is over. */
     private void tell(Routing.Event event) {
+        deciding = true;
         try {
             policy.on(now, event);
         } catch (RuntimeException e) {
             counters.add(Count.FAULTS);
             StackTraceElement[] trace = e.getStackTrace();
             effects.add(new Effect.Log("fault in the decisions: " + e + (trace.length > 0 ? " at " + trace[0] : "")));
+        } finally {
+            deciding = false;
+        }
+        while (!deciding && !afterwards.isEmpty()) {
+            afterwards.poll().run();
         }
     }
 
@@ -211,6 +247,9 @@
         }
         counters.add(Count.PARTS_TAKEN, q.parts.size());
         due(ask.deadlineUs(), DueKind.QUERY, q.number);
+        if (phases != null && phases.opens(q)) {
+            return;
+        }
         tell(new Routing.QueryArrived(q.number, q.number, queryClass, 0, q.parts.size(), ask.deadlineUs(),
                 hintUs, ask.repeat()));
         for (PartRow part : q.parts) {
@@ -241,7 +280,8 @@
     /** What all brokers may do together is shared by one more while two processes are this one. */
     private void share(long untilUs) {
         if (untilUs == siblingUs) {
-            tell(new Routing.Retuned(now < siblingUs ? settings.amongAggregators(2 * settings.aggregators()) : settings));
+            tell(new Routing.Retuned(now < siblingUs
+                    ? seenByDecisions().amongAggregators(2 * settings.aggregators()) : seenByDecisions()));
         }
     }
 
@@ -250,6 +290,9 @@
         if (q != null) {
             counters.add(Count.CLIENT_LEFT);
             tables.remove(q);
+            if (phases != null) {
+                phases.closed(q);
+            }
             tell(new Routing.ClientLeft(q.number));
         }
     }
@@ -261,6 +304,9 @@
     private void reply(QueryRow q, Answer answer, Count what) {
         counters.add(what);
         tables.remove(q);
+        if (phases != null) {
+            phases.closed(q);
+        }
         say(q.exchange, q.ask, answer);
     }
 
@@ -300,10 +346,15 @@
         if (outcome.neverRan() && part.mayHaveRunUs == row.sentUs()) {
             part.mayHaveRunUs = -1;
         }
-        if (outcome == Outcome.OK && !part.over && part.value == null) {
-            part.value = value;
+        if (outcome == Outcome.OK && !row.first()) {
+            if (!part.over && part.value == null) {
+                part.value = value;
+            }
+            if (phases != null) {
+                phases.fullCame(row, value);
+            }
         }
-        return new Routing.AttemptEnded(part.number, row.number(), outcome, row.store().number, now - row.sentUs(),
+        return new Routing.AttemptEnded(row.told(), row.number(), outcome, row.store().number, now - row.sentUs(),
                 part.over || outcome == Outcome.OK, report);
     }
 
@@ -327,7 +378,8 @@
         if (part.over || part.query.ask.deadlineUs() <= now) {
             return "its query is over";
         }
-        if (part.attempts >= Math.min(settings.limits().maxAttempts(), part.query.mostAttempts)) {
+        int most = Math.min(settings.limits().maxAttempts(), part.query.mostAttempts);
+        if (part.before + part.attempts >= (part.first ? most - 1 : most)) { // one is left for the full pass
             return "it had all its attempts";
         }
         if (part.out > 0 && !settings.limits().parallelTries()) {
@@ -340,6 +392,9 @@
         if (isBarred(store)) {
             return "the store is out by hand";
         }
+        if (part.first && store.entry.phases() < 2) {
+            return "the store knows no first pass";
+        }
         int cells = settings.layout().cells();
         if (Math.floorMod(store.entry.cell() - part.ask.shard(), cells) >= settings.layout().inARow()) {
             return "the store does not hold its shard";
@@ -355,9 +410,13 @@
     private void flushCalls() {
         int most = settings.layout().partsPerCall();
         calls.forEach((store, sends) -> {
-            for (int from = 0; from < sends.size(); from += most) {
-                effects.add(new Effect.SendCall(store, sends.subList(from, Math.min(sends.size(), from + most))));
-                counters.add(Count.CALLS_SENT);
+            for (boolean first : ONE_AFTER_THE_OTHER) {
+                List<Effect.PartSend> some = phases == null ? first ? List.of() : sends
+                        : sends.stream().filter(send -> send.first() == first).toList();
+                for (int from = 0; from < some.size(); from += most) {
+                    effects.add(new Effect.SendCall(store, some.subList(from, Math.min(some.size(), from + most))));
+                    counters.add(Count.CALLS_SENT);
+                }
             }
             counters.add(Count.ATTEMPTS_SENT, sends.size());
         });
@@ -384,6 +443,7 @@
                 case ATTEMPT -> attemptDue(tables.attempts.get(due.id()));
                 case PROBE -> probeOver(due.id(), Outcome.TIMEOUT, new float[0]);
                 case ALONE -> share(due.id());
+                case FIRST_PASS -> phases.firstDue((int) due.id());
                 case QUERY -> queryDue(tables.queries.get((int) due.id()));
             }
         }
@@ -481,7 +541,7 @@
                         new float[0]));
                 return;
             }
-            AttemptRow row = new AttemptRow(++lastAttempt, part, number, store, now);
+            AttemptRow row = new AttemptRow(++lastAttempt, part, part.number, number, store, now, part.first);
             tables.add(row);
             part.out++;
             store.out++;
@@ -490,13 +550,14 @@
             long until = Math.min(dueUs, ask.deadlineUs());
             due(until, DueKind.ATTEMPT, row.id());
             calls.computeIfAbsent(server, s -> new ArrayList<>()).add(
-                    new Effect.PartSend(row.id(), part.id, part.ask.shard(), ask.key(), until, ask.text()));
+                    new Effect.PartSend(row.id(), part.id, part.ask.shard(), ask.key(), until, ask.text(), part.first));
         }
 
         @Override
         public void answer(int query, boolean whole) {
             QueryRow q = tables.queries.get(query);
             if (q == null) {
+                ended(query, PhaseStage.End.ANSWERED, 0);
                 return;
             }
             List<Answer.PartValue> in = new ArrayList<>();
@@ -520,6 +581,7 @@
         public void refuse(int query, long comeBackUs) {
             QueryRow q = tables.queries.get(query);
             if (q == null) {
+                ended(query, PhaseStage.End.REFUSED, comeBackUs);
                 return;
             }
             boolean ran = q.parts.stream().anyMatch(part -> part.mayHaveRunUs >= 0);
@@ -536,6 +598,14 @@
             QueryRow q = tables.queries.get(query);
             if (q != null) {
                 giveUp(q);
+            } else {
+                ended(query, PhaseStage.End.FAILED, 0);
+            }
+        }
+
+        private void ended(int leg, PhaseStage.End how, long comeBackUs) {
+            if (phases != null) {
+                phases.ended(leg, how, comeBackUs);
             }
         }
 
@@ -582,4 +652,69 @@
             effects.add(new Effect.Log(text));
         }
     }
+
+    /** What the stage for two phases may do. */
+    private final class ForPhases implements PhaseStage.Host {
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public Settings settings() {
+            return settings;
+        }
+
+        @Override
+        public int classOf(String name) {
+            return Reducer.this.classOf(name);
+        }
+
+        @Override
+        public int newNumber() {
+            return ++lastNumber;
+        }
+
+        @Override
+        public void tell(Routing.Event event) {
+            Reducer.this.tell(event);
+        }
+
+        @Override
+        public void later(Runnable task) {
+            if (deciding) {
+                afterwards.add(task);
+            } else {
+                task.run();
+            }
+        }
+
+        @Override
+        public void wakeFor(long atUs, int query) {
+            due(atUs, DueKind.FIRST_PASS, query);
+        }
+
+        @Override
+        public void endAttempts(PartRow part) {
+            for (AttemptRow row : tables.attemptsOf(part)) {
+                stopWaiting(row);
+                Reducer.this.tell(end(row, Outcome.CANCELLED));
+            }
+        }
+
+        @Override
+        public void reply(QueryRow q, Answer answer, Count what) {
+            Reducer.this.reply(q, answer, what);
+        }
+
+        @Override
+        public void giveUp(QueryRow q) {
+            Reducer.this.giveUp(q);
+        }
+
+        @Override
+        public void log(String text) {
+            effects.add(new Effect.Log(text));
+        }
+    }
 }
--- a/src/main/java/dunlinhitch/core/RosterStage.java
+++ b/src/main/java/dunlinhitch/core/RosterStage.java
@@ -94,6 +94,7 @@
 
     private void apply(long now, List<Change> changes) {
         List<Routing.ServerEntry> told = new ArrayList<>(changes.size());
+        tables.storesVersion++;
         for (Change change : changes) {
             if (change.announced()) {
                 note(change);
--- a/src/main/java/dunlinhitch/core/Tables.java
+++ b/src/main/java/dunlinhitch/core/Tables.java
@@ -20,6 +20,8 @@
     final Map<Long, ProbeRow> probes = new HashMap<>();
     final Map<Integer, StoreRow> stores = new LinkedHashMap<>();
     final Map<String, StoreRow> byName = new HashMap<>();
+    /** Rises with every change of the stores. */
+    long storesVersion;
     /** Stores that are out by hand, and the number that each keeps meanwhile, listed or not. */
     final Map<String, Integer> barred = new HashMap<>();
 
@@ -30,12 +32,12 @@
 
     void add(AttemptRow row) {
         attempts.put(row.id, row);
-        byTry.put(tryKey(row.part.number, row.number), row);
+        byTry.put(tryKey(row.told, row.number), row);
     }
 
     void remove(AttemptRow row) {
         attempts.remove(row.id);
-        byTry.remove(tryKey(row.part.number, row.number));
+        byTry.remove(tryKey(row.told, row.number));
     }
 
     AttemptRow attempt(int part, int number) {
@@ -63,11 +65,16 @@
     }
 
     static final class PartRow {
-        final int number;
+        /** What the decisions know it by; another in its second phase. */
+        int number;
         final QueryRow query;
         final QueryAsk.PartAsk ask;
         final String id;
+        /** Attempts under its present number, and under one before. */
         int attempts;
+        int before;
+        /** It is only asked whether there is anything. */
+        boolean first;
         int out;
         /** When the first attempt that may have run was sent; below 0: none. */
         long mayHaveRunUs = -1;
@@ -83,7 +90,22 @@
         }
     }
 
-    record AttemptRow(long id, PartRow part, int number, StoreRow store, long sentUs) {
+    /** {@code told}: the part's number when it was sent; {@code first}: of a first pass. */
+    record AttemptRow(long id, PartRow part, int told, int number, StoreRow store, long sentUs, boolean first) {
+    }
+
+    /** The part goes on to its full pass, under a number of its own. */
+    void renumber(PartRow part, int number) {
+        parts.remove(part.number);
+        part.before += part.attempts;
+        part.attempts = 0;
+        part.number = number;
+        part.first = false;
+        parts.put(number, part);
+    }
+
+    List<AttemptRow> attemptsOf(PartRow part) {
+        return part.out == 0 ? List.of() : attempts.values().stream().filter(row -> row.part == part).toList();
     }
 
     record ProbeRow(long id, StoreRow store, long sentUs) {
--- a/src/main/java/dunlinhitch/decide/Routing.java
+++ b/src/main/java/dunlinhitch/decide/Routing.java
@@ -133,6 +133,12 @@
             reportFields = List.copyOf(reportFields);
         }
 
+        /** The same with other classes. */
+        public Settings withClasses(List<QueryClass> others) {
+            return new Settings(aggregators, zones, zone, tickUs, others, tenants, overShareWorth, layout, limits, rules, prices,
+                    mustAskForList, reportsInAnswers, reportsInProbes, reportFields, marksRepeats);
+        }
+
         /** The same among so many that share what all may do together. */
         public Settings amongAggregators(int many) {
             return new Settings(many, zones, zone, tickUs, classes, tenants, overShareWorth, layout, limits, rules, prices,
--- /dev/null
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightFirst.java
@@ -0,0 +1,71 @@
+package dunlinhitch.dispatch.flight;
+
+import dunlinhitch.core.Effect.PartSend;
+import dunlinhitch.core.Event;
+import dunlinhitch.decide.Routing.Outcome;
+import dunlinhitch.dispatch.CallText;
+import dunlinhitch.dispatch.ExactText;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.apache.arrow.flight.FlightClient;
+import org.apache.arrow.flight.FlightDescriptor;
+import org.apache.arrow.flight.FlightInfo;
+import org.apache.arrow.flight.FlightRuntimeException;
+
+/**
+ * One first pass over Flight: GetFlightInfo of a command that is the part's text of a call. {@code total_records} says how
+ * many records there are, {@code app_metadata} is {@code VERSION REPORT VALUE}, the value being the empty one. Runs on a thread of its own.
+ */
+final class FlightFirst implements Runnable {
+    private static final int WORDS = 3;
+    private final FlightStores shared;
+    private final FlightClient client;
+    private final BooleanSupplier barred;
+    private final Consumer<Event.AttemptOver> over;
+    private final Consumer<Event.FirstCame> came;
+    private final PartSend part;
+
+    FlightFirst(FlightStores shared, FlightClient client, PartSend part, BooleanSupplier barred,
+            Consumer<Event.AttemptOver> over, Consumer<Event.FirstCame> came) {
+        this.shared = shared;
+        this.client = client;
+        this.part = part;
+        this.barred = barred;
+        this.over = over;
+        this.came = came;
+    }
+
+    @Override
+    public void run() {
+        if (barred.getAsBoolean()) {
+            end(Outcome.CONNECT_FAILED); // it never left
+            return;
+        }
+        try {
+            long now = shared.nowUs();
+            FlightInfo info = client.getInfo(FlightDescriptor.command(CallText.of(List.of(part), now)),
+                    FlightTransport.until(part.dueUs(), now));
+            shared.onLoop(() -> shared.events().accept(new Event.TriesWritten(1)));
+            String text = info.getAppMetadata() == null ? null : ExactText.of(info.getAppMetadata());
+            String[] words = text == null ? new String[0] : text.split(" ", WORDS);
+            if (words.length != WORDS || info.getRecords() < 0) {
+                shared.onLoop(() -> shared.events().accept(new Event.Noted(dunlinhitch.core.Count.BAD_FRAMES)));
+                end(Outcome.RESET);
+                return;
+            }
+            shared.onLoop(() -> came.accept(new Event.FirstCame(part.attempt(), shared.reports().read(words[1]),
+                    info.getRecords(), words[0], words[2])));
+        } catch (FlightRuntimeException e) {
+            end(switch (e.status().code()) {
+                case UNAVAILABLE, CANCELLED, TIMED_OUT -> Outcome.RESET;
+                case RESOURCE_EXHAUSTED -> Outcome.FULL;
+                default -> Outcome.ERROR;
+            });
+        }
+    }
+
+    private void end(Outcome outcome) {
+        shared.onLoop(() -> over.accept(Event.AttemptOver.of(part.attempt(), outcome)));
+    }
+}
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
@@ -43,6 +43,8 @@
     private final ManagedChannel channel;
     private final FlightClient client;
     private final Map<Long, FlightCall> out = new HashMap<>();
+    /** First passes that are waited for. */
+    private final Set<Long> firsts = new java.util.HashSet<>();
     private final List<List<PartSend>> waiting = new ArrayList<>();
     private volatile ServerState state = ServerState.READY;
     private long connectRound;
@@ -71,7 +73,7 @@
         boolean up = channel.getState(false) == ConnectivityState.READY;
         boolean mayNot = closed || barred || state == ServerState.GONE || state == ServerState.WITHDRAWN
                 || state == ServerState.DRAINING && !up
-                || out.size() + parts.size() > FlightStores.MOST_OUT;
+                || out.size() + firsts.size() + parts.size() > FlightStores.MOST_OUT;
         if (mayNot) {
             parts.forEach(p -> over(p.attempt(), Outcome.CONNECT_FAILED));
         } else if (up) {
@@ -115,6 +117,10 @@
     }
 
     private void begin(List<PartSend> parts) {
+        if (parts.get(0).first()) {
+            parts.forEach(this::beginFirst);
+            return;
+        }
         FlightCall call = new FlightCall(shared, client, parts, () -> barred || state == ServerState.WITHDRAWN, this::over);
         parts.forEach(p -> out.put(p.attempt(), call));
         watch();
@@ -125,12 +131,34 @@
         }
     }
 
+    /** The word whether there is anything. */
+    private void beginFirst(PartSend part) {
+        firsts.add(part.attempt());
+        FlightFirst first = new FlightFirst(shared, client, part, () -> barred || state == ServerState.WITHDRAWN, end -> {
+            if (firsts.contains(end.attempt())) {
+                over(end);
+            }
+        }, came -> {
+            if (firsts.remove(came.attempt())) { // else it was given up
+                heardUs = shared.nowUs();
+                shared.events().accept(came);
+                leaveWhenIdle();
+            }
+        });
+        try {
+            shared.readers().execute(first);
+        } catch (RejectedExecutionException e) {
+            over(part.attempt(), Outcome.CONNECT_FAILED);
+        }
+    }
+
     private void over(long attempt, Outcome outcome) {
         over(Event.AttemptOver.of(attempt, outcome));
     }
 
     private void over(Event.AttemptOver end) {
         out.remove(end.attempt());
+        firsts.remove(end.attempt());
         if (end.outcome() == Outcome.OK || end.outcome() == Outcome.ERROR || end.outcome() == Outcome.FULL) {
             heardUs = shared.nowUs();
         }
@@ -146,6 +174,10 @@
                 return true;
             }
         }
+        if (firsts.remove(attempt)) {
+            leaveWhenIdle();
+            return true; // it ends by its own deadline; a read costs little
+        }
         FlightCall call = out.remove(attempt);
         if (call == null) {
             return false;
@@ -273,7 +305,7 @@
 
     @Override
     public boolean idle() {
-        return out.isEmpty() && waiting.isEmpty();
+        return out.isEmpty() && firsts.isEmpty() && waiting.isEmpty();
     }
 
     @Override
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
@@ -39,7 +39,7 @@
     private static final int ANSWER_PART = 2;
 
     /** A part that is out; {@code write} is done once its frame's last byte has left. */
-    private record Out(long attempt, String partId, long sentUs, Future<Void> write) {
+    private record Out(long attempt, String partId, long sentUs, Future<Void> write, boolean first) {
         boolean neverLeft() {
             return !write.succeeded();
         }
@@ -142,9 +142,9 @@
             waiting.add(new ArrayList<>(parts));
             return;
         }
-        Future<Void> write = socket.write(Frames.frame('m', CallText.of(parts, usedUs)));
+        Future<Void> write = socket.write(Frames.frame(parts.get(0).first() ? 's' : 'm', CallText.of(parts, usedUs)));
         write.onSuccess(v -> shared.events.accept(new Event.TriesWritten(parts.size())));
-        parts.forEach(p -> out.put(p.partId(), new Out(p.attempt(), p.partId(), usedUs, write)));
+        parts.forEach(p -> out.put(p.partId(), new Out(p.attempt(), p.partId(), usedUs, write, p.first())));
         watch();
     }
 
@@ -327,23 +327,48 @@
         });
     }
 
+    private static Outcome outcome(String end) throws Frames.MalformedException {
+        Outcome outcome = CallText.end(end);
+        if (outcome == null) {
+            throw new Frames.MalformedException("an end of the name " + end);
+        }
+        return outcome;
+    }
+
+    /** The part that this reply ends, or null where nobody waits for it any more. */
+    private Out answered(String id, boolean first) throws Frames.MalformedException {
+        Out ended = out.get(id);
+        if (ended != null && ended.first() != first) {
+            throw new Frames.MalformedException("a reply of the other phase");
+        }
+        out.remove(id);
+        if (ended != null || abandoned.remove(id)) { // one that was given up has its one reply behind it now
+            remember(answered, id, MOST_ANSWERED);
+        } else if (!answered.contains(id)) { // a second copy is only too much; this is somebody's lost reply
+            throw new Frames.MalformedException("a reply that nobody waits for");
+        }
+        return ended;
+    }
+
     private void take(Frames.Frame frame) throws Frames.MalformedException {
         switch (frame.letter()) {
             case 'q' -> {
                 Frames.PartReply reply = Frames.partReply(frame.rest());
-                Outcome outcome = CallText.end(reply.end());
-                if (outcome == null) {
-                    throw new Frames.MalformedException("an end of the name " + reply.end());
-                }
-                Out ended = out.remove(reply.id());
+                Outcome outcome = outcome(reply.end());
+                Out ended = answered(reply.id(), false);
                 if (ended != null) {
-                    remember(answered, reply.id(), MOST_ANSWERED);
                     shared.events.accept(new Event.AttemptOver(ended.attempt(), outcome,
                             shared.reports.read(reply.report()), reply.value()));
-                } else if (abandoned.remove(reply.id())) { // it was given up; now its one reply is behind us
-                    remember(answered, reply.id(), MOST_ANSWERED);
-                } else if (!answered.contains(reply.id())) { // a second copy is only too much; this is somebody's lost reply
-                    throw new Frames.MalformedException("a reply that nobody waits for");
+                }
+            }
+            case 't' -> {
+                Frames.FirstReply reply = Frames.firstReply(frame.rest());
+                Outcome outcome = outcome(reply.end());
+                Out ended = answered(reply.id(), true);
+                if (ended != null) {
+                    float[] report = shared.reports.read(reply.report());
+                    shared.events.accept(outcome != Outcome.OK ? new Event.AttemptOver(ended.attempt(), outcome, report, "")
+                            : new Event.FirstCame(ended.attempt(), report, reply.records(), reply.version(), reply.emptyValue()));
                 }
             }
             case 'o', 'p' -> {
--- a/src/main/java/dunlinhitch/dispatch/frames/Frames.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/Frames.java
@@ -9,6 +9,7 @@
     /** No frame of a store is longer: the length of one that says so is not waited for. */
     static final int MOST_BYTES = 256 * 1024;
     private static final int HEAD = 4;
+    private static final int MOST_VERSION = 64;
 
     /** One frame as it came. */
     record Frame(char letter, Buffer rest) {
@@ -76,6 +77,24 @@
         return new PartReply(words[0], words[1], words[3], value);
     }
 
+    /** The first answer for one part. */
+    record FirstReply(String id, String end, String report, long records, String version, String emptyValue) {
+    }
+
+    /** Reads the rest of a {@code t} frame: {@code ID END SCORE REPORT RECORDS VERSION}, a line end, the empty value. */
+    static FirstReply firstReply(Buffer rest) throws MalformedException {
+        int line = 0;
+        while (line < rest.length() && rest.getByte(line) != '\n') {
+            line++;
+        }
+        String[] words = rest.getString(0, line, "ISO-8859-1").split(" ", 6);
+        String value = line == rest.length() ? null : ExactText.of(rest.getBytes(line + 1, rest.length()));
+        if (value == null || words.length != 6 || !words[4].matches("[0-9]{1,18}") || words[5].length() > MOST_VERSION) {
+            throw new MalformedException("a first answer without its line of six words, or no UTF-8");
+        }
+        return new FirstReply(words[0], words[1], words[3], Long.parseLong(words[4]), words[5], value);
+    }
+
     static Buffer frame(char letter, byte[] rest) {
         return Buffer.buffer(HEAD + 1 + rest.length).appendUnsignedIntLE(1 + rest.length).appendByte((byte) letter)
                 .appendBytes(rest);
--- a/src/main/java/dunlinhitch/intake/QueryReader.java
+++ b/src/main/java/dunlinhitch/intake/QueryReader.java
@@ -20,6 +20,9 @@
 public final class QueryReader {
     /** The largest body that any front takes. */
     public static final int MOST_BYTES = 64 * 1024;
+    /** Asks that the answer says which shards were spared; the answer's own field is {@link #PRUNED}. */
+    public static final String SHOW_PRUNED = "X-Show-Pruned";
+    public static final String PRUNED = "X-Pruned";
     public static final String TRACE_ID = "X-Trace-Id";
     public static final String EXPIRES_IN = "X-Expires-In";
     public static final String SECOND_TRY = "X-Second-Try";
@@ -60,7 +63,7 @@
                 throw new BadQueryException("predicate is missing");
             }
             return new QueryAsk(id, key, kind, takenUs + leftUs, "1".equals(header.apply(SECOND_TRY)),
-                    parts(o.get("ranges")), text.asString());
+                    parts(o.get("ranges")), text.asString(), "1".equals(header.apply(SHOW_PRUNED)));
         } catch (RuntimeException e) {
             throw new BadQueryException("the body is no query: " + e.getMessage());
         }
--- a/src/main/java/dunlinhitch/intake/flight/FlightFront.java
+++ b/src/main/java/dunlinhitch/intake/flight/FlightFront.java
@@ -51,6 +51,7 @@
 public final class FlightFront implements Front {
     public static final String CLASS = "X-Qos";
     public static final String TOTAL = "total";
+    private static final String PRUNED = "pruned";
     public static final String RETRY_AFTER = "retry-after";
     private static final long BUFFER_BYTES = 32L << 20;
     private static final int THREADS = 2;
@@ -95,7 +96,7 @@
 
     /** Loads both ends of the wire and the vectors, so that the first query does not wait for them. */
     private void warmUp(String host, int bound) throws InterruptedException {
-        try (VectorSchemaRoot root = VectorSchemaRoot.create(schema(true), allocator)) {
+        try (VectorSchemaRoot root = VectorSchemaRoot.create(schema(true, null), allocator)) {
             fill(root, List.of(new Answer.PartValue(0, "")));
         }
         FlightClient self = FlightClient.builder(allocator, Location.forGrpcInsecure(host, bound)).build();
@@ -179,7 +180,7 @@
             return;
         }
         if (answer instanceof Answer.Served served) {
-            try (VectorSchemaRoot root = VectorSchemaRoot.create(schema(served.whole()), allocator)) {
+            try (VectorSchemaRoot root = VectorSchemaRoot.create(schema(served.whole(), served.pruned()), allocator)) {
                 fill(root, served.parts());
                 listener.start(root);
                 listener.putNext();
@@ -201,9 +202,11 @@
         }
     }
 
-    private static Schema schema(boolean whole) {
+    private static Schema schema(boolean whole, List<Integer> pruned) {
+        Map<String, String> words = pruned == null ? Map.of(TOTAL, Boolean.toString(whole))
+                : Map.of(TOTAL, Boolean.toString(whole), PRUNED, String.join(",", pruned.stream().map(String::valueOf).toList()));
         return new Schema(List.of(Field.notNullable("range", new ArrowType.Int(32, true)),
-                Field.notNullable("blob", ArrowType.Utf8.INSTANCE)), Map.of(TOTAL, Boolean.toString(whole)));
+                Field.notNullable("blob", ArrowType.Utf8.INSTANCE)), words);
     }
 
     private static void fill(VectorSchemaRoot root, List<Answer.PartValue> parts) {
--- a/src/main/java/dunlinhitch/intake/http/HttpFront.java
+++ b/src/main/java/dunlinhitch/intake/http/HttpFront.java
@@ -189,6 +189,10 @@
 
     private void write(HttpServerRequest request, Answer answer) {
         if (answer instanceof Answer.Served served) {
+            if (served.pruned() != null) {
+                request.response().putHeader(QueryReader.PRUNED, String.join(",",
+                        served.pruned().stream().map(String::valueOf).toList()));
+            }
             JsonArray parts = new JsonArray();
             served.parts().forEach(p -> parts.add(Json.object().add("range", p.shard()).add("blob", p.value())));
             end(request, 200, "application/json", Buffer.buffer(
--- a/src/main/java/dunlinhitch/lab/standin/Discovery.java
+++ b/src/main/java/dunlinhitch/lab/standin/Discovery.java
@@ -42,7 +42,8 @@
     }
 
     public static String entry(Store store, String zone, int cell, String lifecycle) {
-        return entry(store.name, store.port(), zone, cell, lifecycle, store.protocol());
+        String entry = entry(store.name, store.port(), zone, cell, lifecycle, store.protocol());
+        return store.first == null ? entry : entry.substring(0, entry.length() - 1) + ",\"phases\":2}";
     }
 
     /** The list that a new watch begins with. */
--- a/src/main/java/dunlinhitch/lab/standin/FlightStore.java
+++ b/src/main/java/dunlinhitch/lab/standin/FlightStore.java
@@ -8,6 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.arrow.flight.Action;
 import org.apache.arrow.flight.CallStatus;
+import org.apache.arrow.flight.FlightDescriptor;
+import org.apache.arrow.flight.FlightEndpoint;
+import org.apache.arrow.flight.FlightInfo;
 import org.apache.arrow.flight.FlightServer;
 import org.apache.arrow.flight.Location;
 import org.apache.arrow.flight.NoOpFlightProducer;
@@ -73,6 +76,24 @@
             }
         }
 
+        @Override
+        public FlightInfo getFlightInfo(CallContext context, FlightDescriptor descriptor) {
+            Seen part = parts(descriptor.getCommand()).get(0);
+            firstSeen.add(part);
+            First said = first.apply(part);
+            try {
+                Thread.sleep(said == null ? 2_000 : firstAfterMs);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            First answer = said == null ? new First(0, "late", "") : said;
+            byte[] metadata = (answer.version() + " latency_ms=1,queue=0 " + answer.emptyValue()).getBytes(StandardCharsets.UTF_8);
+            List<FlightEndpoint> where = answer.records() == 0 ? List.of()
+                    : List.of(new FlightEndpoint(new Ticket(descriptor.getCommand())));
+            return FlightInfo.builder(SCHEMA, descriptor, where).setRecords(answer.records()).setBytes(-1)
+                    .setAppMetadata(metadata).build();
+        }
+
         @Override
         public void doAction(CallContext context, Action action, StreamListener<Result> listener) {
             String body = new String(action.getBody(), StandardCharsets.UTF_8);
--- a/src/main/java/dunlinhitch/lab/standin/FrameStore.java
+++ b/src/main/java/dunlinhitch/lab/standin/FrameStore.java
@@ -50,6 +50,16 @@
         } else if (letter == 'p') {
             probes.add(name);
             socket.write(frame('p', "latency_ms=5,queue=0"));
+        } else if (letter == 's') {
+            for (Seen part : parts(rest)) {
+                firstSeen.add(part);
+                First said = first.apply(part);
+                if (said != null) {
+                    Buffer frame = frame('t', part.id() + " good 1 latency_ms=1,queue=0 " + said.records() + " "
+                            + said.version() + "\n" + said.emptyValue());
+                    vertx.setTimer(Math.max(1, firstAfterMs), t -> socket.write(frame));
+                }
+            }
         } else {
             for (Seen part : parts(rest)) {
                 Do how = take(part);
--- a/src/main/java/dunlinhitch/lab/standin/Stage.java
+++ b/src/main/java/dunlinhitch/lab/standin/Stage.java
@@ -31,6 +31,7 @@
     public Path stateDir;
     public Product.Announcement announcement;
     public Product.MembershipTimes times;
+    public List<Product.Phase> phases = List.of();
     /** What the broker logged. */
     public final List<String> log = new java.util.concurrent.CopyOnWriteArrayList<>();
     /** Told of each line as it is logged, on the broker's loop. */
@@ -87,7 +88,7 @@
     }
 
     private Product product(Address flight, Product.DnsService dns) {
-        return new Product(flight, dns == null, dns == null ? List.of() : List.of(dns), announcement, stateDir, times);
+        return new Product(flight, dns == null, dns == null ? List.of() : List.of(dns), announcement, stateDir, times, phases);
     }
 
     /** Both stores hold every shard; their zone is the broker's, so that neither costs more. */
--- a/src/main/java/dunlinhitch/lab/standin/Store.java
+++ b/src/main/java/dunlinhitch/lab/standin/Store.java
@@ -36,6 +36,16 @@
                 how == Do.NO_REPORT ? "latency_ms==;\u0007 queue" : "latency_ms=5,queue=0", value);
     }
 
+    /** A first answer; null: none comes. */
+    public record First(long records, String version, String emptyValue) {
+    }
+
+    /** What the store says first of a part; null: it knows a single phase. */
+    public volatile Function<Seen, First> first;
+    /** How long a first answer takes. */
+    public volatile int firstAfterMs;
+    /** First passes as they came. */
+    public final BlockingQueue<Seen> firstSeen = new LinkedBlockingQueue<>();
     public final String name;
     public final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
     public final BlockingQueue<String> givenUp = new LinkedBlockingQueue<>();
--- a/src/main/java/dunlinhitch/roster/RosterFile.java
+++ b/src/main/java/dunlinhitch/roster/RosterFile.java
@@ -62,7 +62,7 @@
             claims.add(new JsonObject().add("source", row.source()).add("key", row.key()).add("id", e.name())
                     .add("host", e.host()).add("port", e.port()).add("zone", e.zone()).add("cell", e.cell())
                     .add("state", e.state().name()).add("weight", e.weight()).add("start", e.startedUs())
-                    .add("wire", e.wire().name()).add("heard", row.heardUs())
+                    .add("wire", e.wire().name()).add("phases", e.phases()).add("heard", row.heardUs())
                     .add("until", row.untilUs() == TimingWheel.NEVER ? nowUs + OPEN_END_US : row.untilUs()));
         }
         byte[] body = new JsonObject().add("saved", nowUs).add("claims", claims).toString().getBytes(StandardCharsets.UTF_8);
@@ -121,7 +121,7 @@
             JsonObject o = value.asObject();
             StoreEntry entry = new StoreEntry(o.get("id").asString(), o.get("host").asString(), o.get("port").asInt(),
                     o.get("zone").asInt(), o.get("cell").asInt(), ServerState.valueOf(o.get("state").asString()),
-                    o.get("weight").asDouble(), o.get("start").asLong(), StoreWire.valueOf(o.get("wire").asString()));
+                    o.get("weight").asDouble(), o.get("start").asLong(), StoreWire.valueOf(o.get("wire").asString()), o.getInt("phases", 1));
             long heardUs = Math.min(nowUs, o.get("heard").asLong());
             long lasted = Math.max(0, o.get("until").asLong() - o.get("heard").asLong());
             bySource.computeIfAbsent(o.get("source").asString(), s -> new ArrayList<>())
--- a/src/main/java/dunlinhitch/roster/RosterReader.java
+++ b/src/main/java/dunlinhitch/roster/RosterReader.java
@@ -41,7 +41,7 @@
     private StoreEntry entry(JsonObject o) {
         return entry(o.get("instanceId").asString(), o.get("hostPort").asString(), o.getString("zone", ""),
                 o.get("cell").asInt(), o.get("lifecycle").asString(), o.getDouble("weight", 1),
-                o.getLong("startedAtMs", 0), o.getString("protocol", ""));
+                o.getLong("startedAtMs", 0), o.getString("protocol", "")).phases(o.getInt("phases", 1));
     }
 
     /** An entry from its words, wherever they stand; throws where one is of no use. */
--- a/src/main/java/dunlinhitch/roster/dnssd/TxtReader.java
+++ b/src/main/java/dunlinhitch/roster/dnssd/TxtReader.java
@@ -28,7 +28,7 @@
         }
         return entries.entry(words.get("id"), host + ":" + port, words.get("zone"), number(words, "cell", ""),
                 words.getOrDefault("state", "ready"), 1, Long.parseLong(words.getOrDefault("start", "0")),
-                words.getOrDefault("protocol", ""));
+                words.getOrDefault("protocol", "")).phases(number(words, "phases", "1"));
     }
 
     private static int number(Map<String, String> words, String key, String standard) {
--- a/src/test/java/dunlinhitch/PackagesTest.java
+++ b/src/test/java/dunlinhitch/PackagesTest.java
@@ -18,17 +18,18 @@
 class PackagesTest {
     private static final Path ROOT = Path.of("src/main/java/dunlinhitch");
     private static final Pattern IMPORT = Pattern.compile("^import (?:static )?([a-z.]+)\\.[A-Z]", Pattern.MULTILINE);
-    private static final Map<String, Set<String>> MAY = Map.of(
-            "decide", Set.of("decide"),
-            "membership", Set.of("membership", "decide"),
-            "conf", Set.of("conf"),
-            "core", Set.of("core", "membership", "decide"),
-            "config", Set.of("config", "conf", "decide"),
-            "intake", Set.of("intake", "core", "decide"),
-            "admin", Set.of("admin", "core", "decide"),
-            "dispatch", Set.of("dispatch", "core", "membership", "decide"),
-            "roster", Set.of("roster", "core", "membership", "decide"),
-            "wire", Set.of("wire", "config", "decide"));
+    private static final Map<String, Set<String>> MAY = Map.ofEntries(
+            Map.entry("decide", Set.of("decide")),
+            Map.entry("membership", Set.of("membership", "decide")),
+            Map.entry("conf", Set.of("conf")),
+            Map.entry("phases", Set.of("phases")),
+            Map.entry("core", Set.of("core", "membership", "phases", "decide")),
+            Map.entry("config", Set.of("config", "conf", "decide")),
+            Map.entry("intake", Set.of("intake", "core", "decide")),
+            Map.entry("admin", Set.of("admin", "core", "decide")),
+            Map.entry("dispatch", Set.of("dispatch", "core", "membership", "decide")),
+            Map.entry("roster", Set.of("roster", "core", "membership", "decide")),
+            Map.entry("wire", Set.of("wire", "config", "decide")));
 
     @Test
     void dependenciesPointInward() throws IOException {
