A first pass's price and lateness as they are; a leg turned away is asked for in full

And first answers were timed by turns, 5 ms apart, and those that came too late were left out of what a wait is learnt from, so the wait shrank.

--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -28,8 +28,11 @@
         }
     }
 
-    /** A first answer came: how many records the block has, its data's version, and the value that stands for none. */
-    record FirstCame(long attempt, float[] report, long records, String version, String emptyValue) implements Event {
+    /**
+     * A first answer came at {@code cameUs}, which may be well before the turn that takes it: how many records the block
+     * has, its data's version, and the value that stands for none.
+     */
+    record FirstCame(long attempt, long cameUs, float[] report, long records, String version, String emptyValue) implements Event {
     }
 
     /** So many attempts of a call have been written whole to a store. */
--- a/src/main/java/dunlinhitch/core/PhaseStage.java
+++ b/src/main/java/dunlinhitch/core/PhaseStage.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -28,6 +29,15 @@
  */
 final class PhaseStage {
     private static final String FIRST = "#first";
+    /** Of a first pass, while nothing is known; the least that is believed; and by how much it changes before it is told. */
+    private static final double FIRST_PRICE = 0.1;
+    private static final double LEAST_PRICE = 0.001;
+    private static final double PRICE_STEP = 1.25;
+    private static final long SAY_EVERY_US = 10_000_000;
+
+    /** What was last said of a class. */
+    private record Said(Plan.Why why, long atUs) {
+    }
 
     /** How the decisions ended a leg. */
     enum End { ANSWERED, REFUSED, FAILED }
@@ -58,6 +68,9 @@
         void giveUp(QueryRow q);
 
         void log(String text);
+
+        /** The decisions are to be told the settings anew. */
+        void retune();
     }
 
     /** One client's query on its way in legs. */
@@ -72,10 +85,12 @@
         private int firstLeg;
         private boolean refused;
         private long comeBackUs;
+        private final long begunUs;
 
-        Split(QueryRow q, Plan plan) {
+        Split(QueryRow q, Plan plan, long begunUs) {
             this.q = q;
             this.plan = plan;
+            this.begunUs = begunUs;
         }
     }
 
@@ -84,6 +99,8 @@
     private final Counters counters;
     private final Phases phases;
     private final List<PhaseSettings> settings;
+    private final Map<String, Double> prices = new HashMap<>();
+    private final Map<String, Said> said = new HashMap<>();
     private final Map<Integer, Split> splits = new HashMap<>();
     private final Map<Integer, Split> byLeg = new HashMap<>();
     /** For each cell whether it has stores of two phases only; made anew when the roster changes. */
@@ -98,17 +115,35 @@
         phases = new Phases(settings, random);
     }
 
-    /** What the decisions are told the settings are: beside each class in two phases one for its first pass. */
+    /**
+     * What the decisions are told the settings are: beside each class in two phases one for its first pass. Its worth is that
+     * of the class times the price: the decisions refuse what brings little worth for its work, and beside first passes
+     * that seem to bring the whole worth for nothing, full parts would be refused.
+     */
     Settings seenByDecisions(Settings told) {
         List<QueryClass> classes = new ArrayList<>(told.classes());
         for (PhaseSettings phase : settings) {
             told.classes().stream().filter(kind -> kind.name().equals(phase.queryClass())).findFirst()
                     .ifPresent(kind -> classes.add(new QueryClass(kind.name() + FIRST, kind.aimUs(), 0, kind.deadlineUs(),
-                            Repeat.FREE, 0, 0, kind.worth(), false, 0, 0, 1, 1)));
+                            Repeat.FREE, 0, 0, kind.worth() * priceOf(phase.queryClass()), false, 0, 0, 1, 1)));
         }
         return told.withClasses(classes);
     }
 
+    private double priceOf(String name) {
+        return prices.computeIfAbsent(name, k -> FIRST_PRICE);
+    }
+
+    /** A price that has become another is told. */
+    private void follow(String name) {
+        double price = Math.max(LEAST_PRICE, phases.price(name));
+        double told = priceOf(name);
+        if (phases.price(name) > 0 && (price > told * PRICE_STEP || price < told / PRICE_STEP)) {
+            prices.put(name, price);
+            host.retune();
+        }
+    }
+
     private int firstClassOf(String name) {
         int at = host.settings().classes().size();
         for (PhaseSettings phase : settings) {
@@ -140,10 +175,12 @@
         long until = Math.min(q.ask.deadlineUs(), host.now() + q.ask.kind().aimUs());
         Plan plan = phases.arrived(host.now(), name, shards, may, q.ask.text(), until);
         counters.add(plan.twoPhases() ? Count.QUERIES_IN_TWO_PHASES : Count.QUERIES_IN_ONE_PHASE);
+        say(name, plan.why());
         if (!plan.twoPhases()) {
             return false;
         }
-        Split s = new Split(q, plan);
+        follow(name);
+        Split s = new Split(q, plan, host.now());
         splits.put(q.number, s);
         List<PartRow> atOnce = new ArrayList<>();
         for (PartRow part : q.parts) {
@@ -162,6 +199,30 @@
         return true;
     }
 
+    /** A line when queries of a class begin to go another way, and why; not for what a single query is like. */
+    private void say(String name, Plan.Why why) {
+        boolean ofTheQuery = why == Plan.Why.TRIAL || why == Plan.Why.FEW_BLOCKS || why == Plan.Why.KNOWN_FULL
+                || why == Plan.Why.TOO_LITTLE_TIME;
+        Said before = said.get(name);
+        if (ofTheQuery || before != null && (before.why() == why || host.now() < before.atUs() + SAY_EVERY_US)) {
+            return;
+        }
+        said.put(name, new Said(why, host.now()));
+        phases.shown(host.now()).stream().filter(shown -> shown.queryClass().equals(name)).forEach(shown -> host.log(
+                String.format(Locale.ROOT, "%s goes in %s: %s (share of empty blocks %.2f, price of a first pass %.2f)", name,
+                        why == Plan.Why.TWO_PHASES ? "two phases" : "one phase", words(why), shown.empty(), shown.price())));
+    }
+
+    private static String words(Plan.Why why) {
+        return switch (why) {
+            case TWO_PHASES -> "it pays";
+            case DOES_NOT_PAY -> "it does not pay, or too little is known yet";
+            case CLOSED -> "pruning is closed after an audit";
+            case ONE_PHASE_STORES -> "a store of each of its blocks knows no first pass";
+            default -> why.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+        };
+    }
+
     /** A query of the decisions' own for some of the parts; weights are scaled to 1. */
     private void open(Split s, int queryClass, List<PartRow> parts, long deadlineUs, boolean first) {
         int leg = host.newNumber();
@@ -218,18 +279,13 @@
             return;
         }
         s.legs.remove(leg);
-        boolean refused = how == End.REFUSED;
-        s.refused |= refused;
-        s.comeBackUs = Math.max(s.comeBackUs, comeBackUs);
-        if (leg != s.firstLeg) {
-            finish(s);
-        } else if (refused && s.answers.isEmpty() && s.first.values().stream().allMatch(part -> part.attempts == 0)) {
-            // turned away before anything was done: that is the word on the whole of it
-            s.firstLeg = 0;
-            host.reply(s.q, new Answer.Refused(comeBackUs), Count.REFUSED);
-        } else {
+        if (leg == s.firstLeg) { // also one that was turned away: then all of it is asked for in full, if that is let in
             firstOver(s);
+            return;
         }
+        s.refused |= how == End.REFUSED;
+        s.comeBackUs = Math.max(s.comeBackUs, comeBackUs);
+        finish(s);
     }
 
     /** The moment of the first pass's end; what it has not brought by then it does not bring. */
@@ -251,7 +307,7 @@
             Phases.First answer = new Phases.First(e.records(), e.version(), e.emptyValue());
             s.answers.put(row.part().ask.shard(), answer);
             phases.firstCame(host.now(), s.q.ask.kind().name(), row.part().ask.shard(), s.q.ask.text(), answer,
-                    host.now() - row.sentUs());
+                    e.cameUs() - row.sentUs());
         }
     }
 
@@ -262,7 +318,8 @@
         if (!phases.isSet(name)) {
             return;
         }
-        phases.fullCame(host.now(), name, host.now() - row.sentUs());
+        // it came within the tick before this turn
+        phases.fullCame(host.now(), name, host.now() - row.sentUs() - host.settings().tickUs() / 2);
         Split s = splits.get(q.number);
         int shard = row.part().ask.shard();
         if (s != null && s.audited.remove(shard)) {
@@ -279,6 +336,8 @@
         s.firstLeg = 0;
         if (s.answers.size() < s.first.size()) {
             counters.add(Count.FIRST_PASSES_LATE); // or failed: blocks without an answer are asked in full
+            s.first.values().stream().filter(part -> part.out > 0 && !s.answers.containsKey(part.ask.shard()))
+                    .forEach(part -> phases.firstMissed(host.now(), s.q.ask.kind().name(), host.now() - s.begunUs));
         }
         s.first.values().forEach(host::endAttempts);
         Phases.Outcome outcome = phases.over(host.now(), s.q.ask.kind().name(), s.q.ask.text(), s.first.keySet(), s.answers);
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -716,5 +716,10 @@
         public void log(String text) {
             effects.add(new Effect.Log(text));
         }
+
+        @Override
+        public void retune() {
+            share(siblingUs);
+        }
     }
 }
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightFirst.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightFirst.java
@@ -54,7 +54,8 @@
                 end(Outcome.RESET);
                 return;
             }
-            shared.onLoop(() -> came.accept(new Event.FirstCame(part.attempt(), shared.reports().read(words[1]),
+            long cameUs = shared.nowUs();
+            shared.onLoop(() -> came.accept(new Event.FirstCame(part.attempt(), cameUs, shared.reports().read(words[1]),
                     info.getRecords(), words[0], words[2])));
         } catch (FlightRuntimeException e) {
             end(switch (e.status().code()) {
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
@@ -368,7 +368,7 @@
                 if (ended != null) {
                     float[] report = shared.reports.read(reply.report());
                     shared.events.accept(outcome != Outcome.OK ? new Event.AttemptOver(ended.attempt(), outcome, report, "")
-                            : new Event.FirstCame(ended.attempt(), report, reply.records(), reply.version(), reply.emptyValue()));
+                            : new Event.FirstCame(ended.attempt(), heardUs, report, reply.records(), reply.version(), reply.emptyValue()));
                 }
             }
             case 'o', 'p' -> {
--- a/src/main/java/dunlinhitch/lab/measure/Measures.java
+++ b/src/main/java/dunlinhitch/lab/measure/Measures.java
@@ -26,6 +26,8 @@
         ALL.put("wheel", new WheelMeasure());
         ALL.put("membership-scale", new MembershipScaleMeasure());
         ALL.put("withdrawal", new WithdrawalMeasure());
+        ALL.put("phases", new PhasesMeasure());
+        ALL.put("summaries", new SummariesMeasure());
     }
 
     private Measures() {
--- a/src/main/java/dunlinhitch/lab/standin/FrameStore.java
+++ b/src/main/java/dunlinhitch/lab/standin/FrameStore.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A store that speaks frames. */
-public final class FrameStore extends Store {
+public class FrameStore extends Store {
     /** Connections as they came, for scripts that say something of their own. */
     public final List<NetSocket> sockets = new CopyOnWriteArrayList<>();
     private final Vertx vertx;
@@ -42,6 +42,7 @@
     private void frame(NetSocket socket, char letter, byte[] rest) {
         if (letter == 'n') {
             givenUp.add(new String(rest));
+            dropped(new String(rest));
         } else if (letter == 'o') {
             checks.add(name);
             if (!mute) {
@@ -55,9 +56,10 @@
                 firstSeen.add(part);
                 First said = first.apply(part);
                 if (said != null) {
-                    Buffer frame = frame('t', part.id() + " good 1 latency_ms=1,queue=0 " + said.records() + " "
+                    String report = report();
+                    Buffer frame = frame('t', part.id() + " good 1 " + report + " " + said.records() + " "
                             + said.version() + "\n" + said.emptyValue());
-                    vertx.setTimer(Math.max(1, firstAfterMs), t -> socket.write(frame));
+                    work(part, true, () -> socket.write(frame));
                 }
             }
         } else {
@@ -72,15 +74,31 @@
                 Buffer frame = frame('q', Buffer.buffer(row.id() + " " + row.end() + " 1 " + row.report() + "\n")
                         .appendBytes(row.value()));
                 int copies = how == Do.NOTHING ? 0 : how == Do.TWICE ? 2 : 1;
-                if (answerAfterMs > 0) {
-                    vertx.setTimer(answerAfterMs, t -> write(socket, frame, copies));
-                } else {
-                    write(socket, frame, copies);
-                }
+                work(part, false, () -> write(socket, frame, copies));
             }
         }
     }
 
+    /** Does a part's work, and then what is to be done with its answer. */
+    protected void work(Seen part, boolean onlyFirst, Runnable done) {
+        int ms = onlyFirst ? Math.max(1, firstAfterMs) : answerAfterMs;
+        if (ms > 0) {
+            vertx.setTimer(ms, t -> done.run());
+        } else {
+            done.run();
+        }
+    }
+
+    /** Nobody waits for that part any more. */
+    protected void dropped(String partId) {
+        // what is under way here is answered all the same
+    }
+
+    /** Its load, as it stands. */
+    protected String report() {
+        return "latency_ms=1,queue=0";
+    }
+
     private static void write(NetSocket socket, Buffer frame, int copies) {
         for (int i = 0; i < copies; i++) {
             socket.write(frame);
--- a/src/main/java/dunlinhitch/phases/Phases.java
+++ b/src/main/java/dunlinhitch/phases/Phases.java
@@ -17,11 +17,13 @@
  * full all the same. No I/O, no clock, no threads: every call brings the time (microseconds on one clock).
  */
 public final class Phases {
-    private static final int MOST_BLOCKS = 1 << 16;
-    private static final int MOST_PREDICATES = 4096;
+    private static final int MOST_BLOCKS = 1 << 20;
+    private static final int MOST_PREDICATES = 256;
     private static final long SUMMARY_US = 30_000_000;
     private static final long WINDOW_US = 20_000_000;
     private static final long MOST_TOOK_US = 60_000_000;
+    /** A first pass gets as much at least: turns are ticks apart, and a connection may have to come up. */
+    private static final long LEAST_FIRST_US = 25_000;
     private static final double QUICK = 5;
     private static final double SLOW = 90;
     private static final double LATE = 99;
@@ -70,6 +72,8 @@
     private static final class OfClass {
         private final PhaseSettings settings;
         private final Took first = new Took();
+        /** As first, and with it those that never came in time: without them the wait would grow shorter and shorter. */
+        private final Took waited = new Took();
         private final Took full = new Took();
         private double empty = 0.5;
         private long closedUntilUs = Long.MIN_VALUE;
@@ -103,6 +107,11 @@
         return classes.get(queryClass).settings.share();
     }
 
+    /** What a first pass costs of the full work, 0 while too little is known. */
+    public double price(String queryClass) {
+        return classes.get(queryClass).price();
+    }
+
     /**
      * A query has come. {@code able} are the shards whose every store can give a first answer; {@code untilUs} is its aim, or
      * its deadline where that is nearer.
@@ -137,7 +146,7 @@
         }
         long left = untilUs - nowUs;
         long most = (long) (c.settings.share() * left);
-        long end = nowUs + (known ? Math.min(most, (long) (2 * c.first.at(LATE))) : most);
+        long end = nowUs + (known ? Math.min(most, Math.max(LEAST_FIRST_US, (long) (2 * c.waited.at(LATE)))) : most);
         if (c.full.count() >= ENOUGH && untilUs - end < 2 * c.full.at(SLOW)) {
             return Plan.one(Why.TOO_LITTLE_TIME);
         }
@@ -156,11 +165,20 @@
         OfClass c = classes.get(queryClass);
         if (c != null) {
             c.first.add(nowUs, tookUs);
+            c.waited.add(nowUs, tookUs);
             c.empty += FADE * ((answer.records() == 0 ? 1 : 0) - c.empty);
             summaries.told(nowUs, shard, answer.version(), Summaries.feature(predicate), answer.records() == 0);
         }
     }
 
+    /** A first answer was given up after so long: it would have taken longer, nobody knows how much. */
+    public void firstMissed(long nowUs, String queryClass, long waitedUs) {
+        OfClass c = classes.get(queryClass);
+        if (c != null) {
+            c.waited.add(nowUs, 2 * waitedUs);
+        }
+    }
+
     /** A full answer came in, of a query of either kind. */
     public void fullCame(long nowUs, String queryClass, long tookUs) {
         OfClass c = classes.get(queryClass);
--- a/src/test/java/dunlinhitch/MainTest.java
+++ b/src/test/java/dunlinhitch/MainTest.java
@@ -134,7 +134,8 @@
             assertEquals(0, broker.exitValue());
             assertTrue(lines.contains("queries_taken 0"), "counters are printed at exit");
             for (String off : List.of("org.apache.arrow", "org.xbill", "org.bouncycastle", "org.apache.commons.text",
-                    "dunlinhitch.lab", "dunlinhitch.conf.", "dunlinhitch.roster.dnssd", "dunlinhitch.RecordSources")) {
+                    "dunlinhitch.lab", "dunlinhitch.conf.", "dunlinhitch.roster.dnssd", "dunlinhitch.RecordSources", "org.HdrHistogram",
+                    "org.roaringbitmap", "dunlinhitch.phases.Phases")) {
                 assertFalse(lines.stream().anyMatch(l -> l.contains(off)), "loaded, though nothing asks for it: " + off);
             }
         } finally {
--- a/src/test/java/dunlinhitch/TwoPhasesTest.java
+++ b/src/test/java/dunlinhitch/TwoPhasesTest.java
@@ -211,4 +211,74 @@
         assertEquals("partial", got.end());
         assertEquals(Set.of(3, 5, 7), got.parts().keySet());
     }
+
+    /** What comes after its block was sent in full is passed over; the full answer counts. */
+    @ParameterizedTest
+    @EnumSource(Wire.class)
+    void aFirstAnswerThatComesTooLateChangesNothing(Wire wire) throws Exception {
+        begin(wire, 0, false);
+        one.firstAfterMs = 450;
+        two.firstAfterMs = 450;
+        one.answerAfterMs = 300;
+        two.answerAfterMs = 300;
+        Got got = ask(0, 1, 2, 3);
+        assertEquals("whole", got.end());
+        got.parts().forEach((shard, value) -> assertTrue(value.startsWith("s-"), "shard " + shard + ": " + value));
+        assertEquals(4, fullSeen());
+        assertEquals(0, stage.count("bad_frames"));
+        assertEquals(0, stage.count("blocks_pruned"));
+    }
+
+    /** A block changes between two queries, under the same predicate: what was known of it spares nothing. */
+    @ParameterizedTest
+    @EnumSource(Wire.class)
+    void aStaleSummaryNeverSparesABlock(Wire wire) throws Exception {
+        begin(wire, 0, false);
+        assertEquals(NONE, ask(0, 2, 4).parts().get(2));
+        first(part -> new First(part.shard() == 2 ? 5 : 0, "v1", NONE)); // restarted with other data, under the same version
+        Got got = ask(0, 2, 4);
+        assertTrue(got.parts().get(2).startsWith("s-"), got.toString());
+        first(part -> new First(0, "v2", NONE)); // and emptied by a booking
+        assertEquals(NONE, ask(0, 2, 4).parts().get(0));
+    }
+
+    /** A store that dies between the phases: the full work goes to the other, the answer is whole. */
+    @ParameterizedTest
+    @EnumSource(Wire.class)
+    void aStoreThatDiesBetweenThePhasesLosesNothing(Wire wire) throws Exception {
+        begin(wire, 0, false);
+        two.firstAfterMs = 150;
+        one.firstAfterMs = 150;
+        CompletableFuture<Got> open = open(0, 1, 2, 3, 5, 7);
+        until(() -> one.firstSeen.size() + two.firstSeen.size() == 6);
+        one.close();
+        Got got = open.get(5, TimeUnit.SECONDS);
+        assertTrue(List.of("whole", "partial").contains(got.end()), got.toString());
+        got.parts().forEach((shard, value) -> assertTrue(value.equals(NONE) ? shard % 2 == 0 : value.startsWith("s-"), value));
+        assertEquals(0, stage.count("faults"));
+    }
+
+    /** A client that asks again in the middle gets an answer for each, with no attempt of one mistaken for the other's. */
+    @ParameterizedTest
+    @EnumSource(Wire.class)
+    void aRetryInTheMiddleIsAQueryOfItsOwn(Wire wire) throws Exception {
+        begin(wire, 0, false);
+        for (int i = 0; i < 5; i++) { // what a part takes is known then, and admission has no doubts
+            assertEquals("whole", ask(0, 1).end());
+        }
+        one.firstSeen.clear();
+        two.firstSeen.clear();
+        one.seen.clear();
+        two.seen.clear();
+        one.firstAfterMs = 100;
+        two.firstAfterMs = 100;
+        CompletableFuture<Got> before = open(0, 1, 2, 3);
+        until(() -> one.firstSeen.size() + two.firstSeen.size() == 4);
+        CompletableFuture<Got> again = client.ask("free-search", Map.of("X-Trace-Id", "again", "X-Expires-In", "1.000",
+                "X-Second-Try", "1"), Client.body(0, 1, 2, 3));
+        assertEquals("whole", before.get(5, TimeUnit.SECONDS).end());
+        assertEquals("whole", again.get(5, TimeUnit.SECONDS).end());
+        assertEquals(4, fullSeen());
+        assertEquals(0, stage.count("sends_barred"));
+    }
 }
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -7,6 +7,7 @@
 import dunlinhitch.core.QueryAsk.PartAsk;
 import dunlinhitch.membership.Claim;
 import dunlinhitch.membership.StoreEntry;
+import dunlinhitch.phases.PhaseSettings;
 import dunlinhitch.decide.Routing.Limits;
 import dunlinhitch.decide.Routing.ListKind;
 import dunlinhitch.decide.Routing.Outcome;
@@ -306,4 +307,43 @@
         turn(new Event.ProbeOver(probe, Outcome.OK, new float[] {1, 0}));
         assertEquals(0, reducer.counters().get(Count.FAULTS));
     }
+
+    /** A store that has just started is sent no more than it can take, first passes and full parts together. */
+    @Test
+    void aColdStoresBudgetCountsBothPhases() {
+        Reducer two = new Reducer(dunlinhitch.lab.standin.Stage.settings(300), null,
+                List.of(new PhaseSettings("free-search", 0.3, 2, 1, 0, 0.05, SECOND)), 7, now);
+        two.turn(now, List.of(new Event.RosterNews(ListKind.FULL, List.of(
+                store("a", 0, ServerState.READY).startedAt(now).phases(2),
+                store("b", 1, ServerState.READY).startedAt(now).phases(2)))));
+        java.util.Map<Integer, Integer> sent = new java.util.TreeMap<>();
+        int[] ofPhase = {0, 0};
+        List<Event> next = new java.util.ArrayList<>();
+        long begin = now;
+        for (int i = 0; now < begin + 1_500_000; i++) {
+            now += 5_000;
+            if (i % 4 == 0) {
+                QueryAsk ask = new QueryAsk("c" + i, "", two.settings().classes().get(0), now + 900_000, false,
+                        List.of(new PartAsk(0, 0.5, 0), new PartAsk(1, 0.5, 0)), "x");
+                next.add(new Event.QueryTaken(1_000 + i, ask));
+            }
+            List<Event> events = List.copyOf(next);
+            next.clear();
+            for (Effect effect : two.turn(now, events)) {
+                if (effect instanceof SendCall call) {
+                    sent.merge(call.store(), call.parts().size(), Integer::sum);
+                    for (Effect.PartSend part : call.parts()) {
+                        ofPhase[part.first() ? 0 : 1]++;
+                        next.add(part.first() ? new Event.FirstCame(part.attempt(), now + 1_000, new float[0], 2, "v", "")
+                                : new Event.AttemptOver(part.attempt(), Outcome.OK, new float[0], "v"));
+                    }
+                }
+            }
+        }
+        // three times 15 % of a core for 1.5 s, of parts that cost a call's 46 ms at least, and one more
+        int most = (int) (3 * 0.15 * 1_500_000 / 46_000) + 1;
+        assertTrue(ofPhase[0] > 0 && ofPhase[1] > 0, "both phases were sent: " + ofPhase[0] + ", " + ofPhase[1]);
+        assertTrue(sent.values().stream().allMatch(parts -> parts <= most), sent + ", most " + most);
+        assertEquals(0, two.counters().get(Count.FAULTS));
+    }
 }
