--- a/src/main/java/dunlinhitch/lab/measure/Measures.java
+++ b/src/main/java/dunlinhitch/lab/measure/Measures.java
@@ -27,6 +27,7 @@
         ALL.put("membership-scale", new MembershipScaleMeasure());
         ALL.put("withdrawal", new WithdrawalMeasure());
         ALL.put("phases", new PhasesMeasure());
+        ALL.put("seeds", new SeedsMeasure());
         ALL.put("summaries", new SummariesMeasure());
     }
 
