A cold store's budget goes by the warm ones there were; no grace for what was not ready

What a warm store is seen to do was the work answered of late by the warm ones there are now: when eighteen had become three, each seemed to do six times as much, and the cold ones got six times their due.

Change: (1) learnt work is divided by the warm stores of its moment; (2) only what was ready has a grace, in the decisions and in the reducer's guard. Each has its stories in src/test/resources/stories, which fail without it.

--- a/src/main/java/dunlinhitch/core/RosterStage.java
+++ b/src/main/java/dunlinhitch/core/RosterStage.java
@@ -25,6 +25,7 @@
     /** The platform's list: its word is taken as it is. */
     static final String DISCOVERY = "discovery";
     private static final int RANK = 0;
+    private static final long NEVER_READY = Long.MIN_VALUE / 2;
     private final Membership membership;
     private final Tables tables;
     private final Counters counters;
@@ -109,9 +110,11 @@
                 row = new StoreRow(kept == null ? ++lastStore : kept, entry);
                 tables.stores.put(row.number, row);
                 tables.byName.put(entry.name(), row);
-                row.toldUs = now;
+                row.toldUs = entry.state() == ServerState.READY ? now : NEVER_READY;
             }
-            if (row.state() != entry.state()) {
+            // the grace of a drain is for what was ready until then: one that was gone, or is new, has none
+            boolean turns = row.state() == ServerState.READY || entry.state() == ServerState.READY;
+            if (row.state() != entry.state() && turns) {
                 row.toldUs = now;
             }
             row.entry = entry;
--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -293,19 +293,18 @@
      * when warm. That is one core's work at least, shared by all; or what warm ones are seen to do for this
      * aggregator, for all aggregators see no more together than they can. */
     private double coldRate(Server s) {
-        double warm = served * faded(servedAtUs, SERVED_AIMS * reportAgeUs) / (SERVED_AIMS * reportAgeUs)
-                / Math.max(1, warmReady);
+        double warm = served * faded(servedAtUs, SERVED_AIMS * reportAgeUs) / (SERVED_AIMS * reportAgeUs);
         return COLD_SHARE * settings.rules().overloadFactor() * warmth(s)
                 * Math.max(1.0 / settings.aggregators(), warm);
     }
 
-    private double served; // work that warm servers have answered of late, fading
+    private double served; // work that a warm server has answered of late, by how many there were then, fading
     private long servedAtUs;
     private long warmReady; // servers that are warm and may be sent to, when that was last seen
 
     private void learnServed(Attempt a) {
         if (warmth(a.server) >= 1) {
-            served = coldWork(a.part) + served * faded(servedAtUs, SERVED_AIMS * reportAgeUs);
+            served = coldWork(a.part) / Math.max(1, warmReady) + served * faded(servedAtUs, SERVED_AIMS * reportAgeUs);
             servedAtUs = now;
         }
     }
@@ -1110,7 +1109,8 @@
     }
 
     private void tell(Server s, ServerState state) {
-        s.toldUs = s.state == state ? s.toldUs : now;
+        boolean turns = s.state != state && (s.state == ServerState.READY || state == ServerState.READY);
+        s.toldUs = turns ? now : s.toldUs; // one that was not ready before has no grace
         s.state = state;
         if (state == ServerState.GONE) {
             servers.gone(s);
--- a/src/main/java/dunlinhitch/decide/State.java
+++ b/src/main/java/dunlinhitch/decide/State.java
@@ -97,7 +97,7 @@
         final int id;
         int zone;
         int cell;
-        ServerState state = ServerState.READY;
+        ServerState state = ServerState.GONE;
         long toldUs;
         long heardUs;
         long startedUs;
--- a/src/main/java/dunlinhitch/lab/sim/SimStore.java
+++ b/src/main/java/dunlinhitch/lab/sim/SimStore.java
@@ -79,6 +79,7 @@
         fallen = false;
         waiting.clear();
         sent.clear();
+        sentUs = 0;
         ranUs.clear();
         busy = 0;
         startedUs = time.now();
