--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -298,7 +298,7 @@
                 * Math.max(1.0 / settings.aggregators(), warm);
     }
 
-    private double served; // work that a warm server has answered of late, by how many there were then, fading
+    private double served; // work that a warm server has answered of late, fading
     private long servedAtUs;
     private long warmReady; // servers that are warm and may be sent to, when that was last seen
 
