--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -253,7 +253,7 @@
     }
 
     /** Ends it at once, where nobody can be crossing that. */
-    Future<Void> close() {
+    public Future<Void> close() {
         loop.accept(new Event.StopAsked());
         return ended.future();
     }
--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -304,7 +304,8 @@
 
     private void learnServed(Attempt a) {
         if (warmth(a.server) >= 1) {
-            served = coldWork(a.part) / Math.max(1, warmReady) + served * faded(servedAtUs, SERVED_AIMS * reportAgeUs);
+            double before = served * faded(servedAtUs, SERVED_AIMS * reportAgeUs);
+            served = coldWork(a.part) / Math.max(1, warmReady) + before;
             servedAtUs = now;
         }
     }
--- a/src/main/java/dunlinhitch/lab/standin/Stage.java
+++ b/src/main/java/dunlinhitch/lab/standin/Stage.java
@@ -112,7 +112,13 @@
         return ended;
     }
 
+    /** The broker ends as it would without clients, so that no channel of its own is left; then the loop. */
     public void close() throws Exception {
+        if (broker != null) {
+            CompletableFuture<Void> ended = new CompletableFuture<>();
+            vertx.runOnContext(v -> broker.close().onComplete(done -> ended.complete(null)));
+            ended.completeOnTimeout(null, 5, TimeUnit.SECONDS).get(10, TimeUnit.SECONDS);
+        }
         vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
     }
 }
