--- a/src/main/java/dunlinhitch/core/PhaseStage.java
+++ b/src/main/java/dunlinhitch/core/PhaseStage.java
@@ -364,14 +364,8 @@
         if (s.firstLeg != 0 || !s.legs.isEmpty() || splits.get(s.q.number) != s) {
             return;
         }
-        List<Answer.PartValue> in = new ArrayList<>();
-        double weight = 0;
-        for (PartRow part : s.q.parts) {
-            if (part.value != null) {
-                in.add(new Answer.PartValue(part.ask.shard(), part.value));
-                weight += part.ask.weight();
-            }
-        }
+        List<Answer.PartValue> in = s.q.in();
+        double weight = s.q.weightIn();
         QueryClass kind = s.q.ask.kind();
         if (!in.isEmpty() && weight >= kind.floor() - Reducer.WEIGHT_SLACK) {
             boolean whole = weight >= kind.need() - Reducer.WEIGHT_SLACK;
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -560,14 +560,8 @@
                 ended(query, PhaseStage.End.ANSWERED, 0);
                 return;
             }
-            List<Answer.PartValue> in = new ArrayList<>();
-            double weight = 0;
-            for (PartRow part : q.parts) {
-                if (part.value != null) {
-                    in.add(new Answer.PartValue(part.ask.shard(), part.value));
-                    weight += part.ask.weight();
-                }
-            }
+            List<Answer.PartValue> in = q.in();
+            double weight = q.weightIn();
             if (in.isEmpty() || weight < kind(q).floor() - WEIGHT_SLACK) {
                 counters.add(Count.ANSWERS_BARRED); // less than the class allows is no answer
                 giveUp(q);
--- a/src/main/java/dunlinhitch/core/Tables.java
+++ b/src/main/java/dunlinhitch/core/Tables.java
@@ -62,6 +62,16 @@
             this.ask = ask;
             this.mostAttempts = mostAttempts;
         }
+
+        /** What is in, whichever way it came. */
+        List<Answer.PartValue> in() {
+            return parts.stream().filter(part -> part.value != null)
+                    .map(part -> new Answer.PartValue(part.ask.shard(), part.value)).toList();
+        }
+
+        double weightIn() {
+            return parts.stream().filter(part -> part.value != null).mapToDouble(part -> part.ask.weight()).sum();
+        }
     }
 
     static final class PartRow {
--- a/src/main/java/dunlinhitch/lab/sim/World.java
+++ b/src/main/java/dunlinhitch/lab/sim/World.java
@@ -112,6 +112,7 @@
     private long lateReportsUs;
     private double garble;
     private final Map<String, Integer> cuts = new HashMap<>();
+    private final Map<Integer, Long> toldUs = new HashMap<>();
     private boolean classDropped;
     private int lastPort = 7000;
     private int lastQuery;
@@ -257,7 +258,10 @@
             long delay = (long) (quick || byRecords ? Streams.between(discovery, 1_000, 60_000)
                     : Streams.between(discovery, 200_000, 3_000_000));
             boolean late = day.defect() == Defect.LATE_DRAIN && state != ServerState.READY;
-            time.after(delay, () -> {
+            // one agent tells a broker, in the order of what happened
+            long atUs = Math.max(time.now() + delay, toldUs.getOrDefault(broker.number, 0L));
+            toldUs.put(broker.number, atUs);
+            time.at(atUs, () -> {
                 if (broker.isDead()) {
                     return;
                 }
--- a/src/test/java/dunlinhitch/PackagesTest.java
+++ b/src/test/java/dunlinhitch/PackagesTest.java
@@ -62,6 +62,23 @@
         assertEquals(List.of(), wrong);
     }
 
+    /** What decides, and what plays days, has no clock, thread or chance but those that it is given. */
+    @Test
+    void decisionsHaveNoClockOfTheirOwn() throws IOException {
+        Pattern clock = Pattern.compile("System\\.(nanoTime|currentTimeMillis)|Math\\.random|new Random\\(\\)|new Thread|Instant\\.now");
+        Map<String, String> wrong = new TreeMap<>();
+        for (String part : List.of("decide", "core", "membership", "phases", "lab/sim")) {
+            for (Path file : sources(ROOT.resolve(part))) {
+                Matcher m = clock.matcher(Files.readString(file));
+                boolean mayLook = file.endsWith("MicroClock.java") || file.endsWith("SimCommands.java"); // the edge's own clock, a progress line
+                if (!mayLook && m.find()) {
+                    wrong.put(file.toString(), m.group());
+                }
+            }
+        }
+        assertEquals(Map.of(), wrong);
+    }
+
     private static List<Path> sources(Path folder) throws IOException {
         try (Stream<Path> files = Files.walk(folder)) {
             return files.filter(f -> f.toString().endsWith(".java")).toList();
