--- a/src/main/java/dunlinhitch/phases/Phases.java
+++ b/src/main/java/dunlinhitch/phases/Phases.java
@@ -24,6 +24,11 @@
     private static final long MOST_TOOK_US = 60_000_000;
     /** A first pass gets as much at least: turns are ticks apart, and a connection may have to come up. */
     private static final long LEAST_FIRST_US = 25_000;
+    /** Of a first pass, until it has been seen where there is no queue. */
+    private static final double FIRST_PRICE = 0.1;
+    private static final double CONGESTED = 1.5;
+    /** Stores that have become slower for good are no queue. */
+    private static final double DRIFT = 1.0005;
     private static final double QUICK = 5;
     private static final double SLOW = 90;
     private static final double LATE = 99;
@@ -76,6 +81,8 @@
         private final Took waited = new Took();
         private final Took full = new Took();
         private double empty = 0.5;
+        private double price = FIRST_PRICE;
+        private double quickestFull = MOST_TOOK_US;
         private long closedUntilUs = Long.MIN_VALUE;
         private boolean paid;
         private final Map<Why, Long> whys = new EnumMap<>(Why.class);
@@ -85,7 +92,20 @@
         }
 
         double price() {
-            return first.count() < ENOUGH || full.count() < ENOUGH ? 0 : Math.min(2, first.at(QUICK) / full.at(QUICK));
+            return first.count() < ENOUGH || full.count() < ENOUGH ? 0 : price;
+        }
+
+        /**
+         * The quick ends of both passes, where stores have no queue. Where even the quickest full part waited, the ratio says more
+         * of the queue than of the price: then it may only fall.
+         */
+        void learnPrice() {
+            if (first.count() >= ENOUGH && full.count() >= ENOUGH) {
+                double quick = full.at(QUICK);
+                double ratio = Math.min(2, first.at(QUICK) / quick);
+                quickestFull = Math.min(quick, quickestFull * DRIFT);
+                price = quick > CONGESTED * quickestFull ? Math.min(price, ratio) : ratio;
+            }
         }
     }
 
@@ -184,6 +204,7 @@
         OfClass c = classes.get(queryClass);
         if (c != null) {
             c.full.add(nowUs, tookUs);
+            c.learnPrice();
         }
     }
 
--- a/src/test/java/dunlinhitch/phases/PhasesTest.java
+++ b/src/test/java/dunlinhitch/phases/PhasesTest.java
@@ -75,6 +75,19 @@
         assertEquals(Why.DOES_NOT_PAY, ask(dear, all, S).why());
     }
 
+    /** Where both passes wait in one queue the ratio of their times says nothing of the price. */
+    @Test
+    void aQueueIsNotTakenForAPrice() {
+        Phases phases = phases(0, 0);
+        learn(phases, 0.6, 8_000, 80_000);
+        assertEquals(0.1, phases.price(CLASS), 0.02);
+        now += 50 * S;
+        learn(phases, 0.6, 408_000, 480_000);
+        learn(phases, 0.6, 408_000, 480_000);
+        assertEquals(0.1, phases.price(CLASS), 0.02);
+        assertEquals(Why.TWO_PHASES, ask(phases, Set.copyOf(SHARDS), 10 * S).why());
+    }
+
     @Test
     void summariesOrderTheWorkAndNeverSpareABlock() {
         Phases phases = phases(0, 0);
--- a/src/test/java/dunlinhitch/roster/dnssd/RecordsTest.java
+++ b/src/test/java/dunlinhitch/roster/dnssd/RecordsTest.java
@@ -341,4 +341,40 @@
         assertTrue(dialogue.received(now, message(Dso.write(new Head(0, false, 0), Dso.keepAlive(1, 500)))).stream()
                 .anyMatch(a -> a instanceof PushDialogue.Close));
     }
+
+    /** Registered when ready, again before the lease ends, with growing pauses where it is refused, and gone first of all. */
+    @Test
+    void anAnnouncementIsKeptUpAndTakenBack() {
+        Name instance = Names.parse("n0._broker._tcp.example.org.");
+        AnnouncePlan plan = new AnnouncePlan(new AnnouncePlan.Content(Names.parse("example.org."),
+                Names.parse("_broker._tcp.example.org."), instance, Names.parse("n0.example.org."), "127.0.0.1", 7070,
+                List.of(), 120, 3_600), new SplittableRandom(8));
+        assertEquals(null, plan.due(now), "not before it serves");
+        plan.ready(now);
+        AnnouncePlan.Step step = plan.due(now);
+        assertTrue(!step.withdrawal() && step.update().getSection(Section.UPDATE).size() >= 4);
+        assertEquals(null, plan.due(now), "one at a time");
+        long waited = 0;
+        for (int i = 0; i < 4; i++) {
+            plan.failed(now, false);
+            assertTrue(plan.nextUs() - now > waited, "growing pauses");
+            waited = plan.nextUs() - now;
+            now = plan.nextUs();
+            assertTrue(plan.due(now) != null);
+        }
+        Message granted = new Message();
+        granted.addRecord(new org.xbill.DNS.OPTRecord(1232, 0, 0, 0, List.of(new org.xbill.DNS.GenericEDNSOption(2,
+                new byte[] {0, 0, 0, 100}))), Section.ADDITIONAL);
+        plan.done(now, granted, false);
+        assertTrue(plan.isHeld());
+        assertTrue(plan.nextUs() >= now + 70 * S && plan.nextUs() <= now + 80 * S, "of the lease that was granted, not asked for");
+        plan.ending(now);
+        AnnouncePlan.Step last = plan.due(now);
+        assertTrue(last.withdrawal());
+        plan.failed(now, true);
+        assertTrue(plan.due(plan.nextUs()).withdrawal(), "it is tried again");
+        plan.done(now, granted, true);
+        assertTrue(plan.isLeft());
+        assertEquals(null, plan.due(now + 1_000 * S));
+    }
 }
