--- a/src/main/java/dunlinhitch/core/PhaseStage.java
+++ b/src/main/java/dunlinhitch/core/PhaseStage.java
@@ -76,7 +76,6 @@
     /** One client's query on its way in legs. */
     private static final class Split {
         private final QueryRow q;
-        private final Plan plan;
         private final Map<Integer, PartRow> first = new LinkedHashMap<>();
         private final Map<Integer, Phases.First> answers = new HashMap<>();
         private final Set<Integer> pruned = new HashSet<>();
@@ -87,9 +86,8 @@
         private long comeBackUs;
         private final long begunUs;
 
-        Split(QueryRow q, Plan plan, long begunUs) {
+        Split(QueryRow q, long begunUs) {
             this.q = q;
-            this.plan = plan;
             this.begunUs = begunUs;
         }
     }
@@ -180,7 +178,7 @@
             return false;
         }
         follow(name);
-        Split s = new Split(q, plan, host.now());
+        Split s = new Split(q, host.now());
         splits.put(q.number, s);
         List<PartRow> atOnce = new ArrayList<>();
         for (PartRow part : q.parts) {
@@ -388,9 +386,4 @@
             }
         }
     }
-
-    /** Queries that are on their way in legs. */
-    int open() {
-        return splits.size();
-    }
 }
--- a/src/main/java/dunlinhitch/lab/measure/WithdrawalMeasure.java
+++ b/src/main/java/dunlinhitch/lab/measure/WithdrawalMeasure.java
@@ -50,8 +50,6 @@
     private static final long WATCHED_NANOS = 300_000_000;
     private static final long BOUND_US = 250_000;
 
-    private final Histogram lastSend = new Histogram(60_000_000, 3);
-
     @Override
     public Measures.Verdict run(long seed, boolean quick, PrintStream out) throws Exception {
         int times = quick ? 20 : 500;
@@ -156,7 +154,6 @@
         over.set(true);
         load.join();
         row(out, way, seen, last);
-        lastSend.add(last);
         stage.close();
         long least = stores.stream().mapToLong(store -> store.seen.size()).min().orElse(0);
         for (Store store : stores) {
--- a/src/main/java/dunlinhitch/roster/dnssd/DnsSource.java
+++ b/src/main/java/dunlinhitch/roster/dnssd/DnsSource.java
@@ -67,7 +67,6 @@
     private boolean soaAsked;
     private int failures;
     private long strays;
-    private long changes;
     private long timer = -1;
     private long timerDueUs = TimingWheel.NEVER;
     private boolean answered;
@@ -198,7 +197,6 @@
     private void tell(long now) {
         Records.News news = records.news(now);
         if (news.whole() || !news.claims().isEmpty()) {
-            changes++;
             events.accept(new Event.SourceSaid(settings.source(), news.whole(), news.claims()));
         }
         Map<Records.Oddity, Integer> odd = records.oddities();
