An answer planned for the aim leaves 10 ms before it, however short the tick

Earlier sites have a tick of 5 ms and so 10 ms. Lines: Policy.tune, marginUs = 2 * tickUs. Change: the margin is 10 ms at the least; nothing changes where the tick is 5 ms. A test in PolicyTest fails without it.

--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -20,6 +20,7 @@
     private static final int WINDOW = 64; // times kept for each class
     private static final int SWEEPS_PER_AIM = 64;
     private static final long SWEEP_LEAST_US = 10_000; // each looks at all that is out, and time is metered
+    private static final long MARGIN_LEAST_US = 10_000; // writing it out takes as long where ticks are short
     private static final double LAG_KEPT = 0.8; // from sweep to sweep
     private static final double UNSENT_SHARE = 0.48; // of a query's time: after half a refusal is dear
     private static final long TEND_SWEEPS = 4; // until a late part that was not helped is looked at again
@@ -91,7 +92,7 @@
         }
         long shortest = settings.classes().stream().mapToLong(QueryClass::aimUs).min().orElseThrow();
         sweepUs = Math.max(Math.max(settings.tickUs(), SWEEP_LEAST_US), shortest / SWEEPS_PER_AIM);
-        marginUs = 2 * settings.tickUs();
+        marginUs = Math.max(MARGIN_LEAST_US, 2 * settings.tickUs());
         reportAgeUs = shortest;
     }
 
--- a/src/test/java/dunlinhitch/decide/PolicyTest.java
+++ b/src/test/java/dunlinhitch/decide/PolicyTest.java
@@ -676,6 +676,20 @@
 
     // the aim first, and answers in part
 
+    /** The way to the client takes as long where turns are short: an answer that leaves just before the aim is late. */
+    @Test
+    void aShortTickLeavesAnAnswerAtTheAimNoLessTimeToArrive() {
+        Sites site = new Sites();
+        site.tickUs = 1_000;
+        site.floor = 0.5;
+        site.lateWorth = 0.1;
+        Script s = pair(site);
+        s.query(0, LONG, 0, 1);
+        s.end(s.sent.get(0), Outcome.OK);
+        s.run(990_000); // the aim is at 1 s
+        assertTrue(s.done.contains("answer 1 partial"), "10 ms before the aim: " + s.done);
+    }
+
     @Test
     void whatIsInAtTheAimIsWorthMoreThanLateness() {
         Sites site = new Sites();
--- a/src/test/java/dunlinhitch/decide/Sites.java
+++ b/src/test/java/dunlinhitch/decide/Sites.java
@@ -23,6 +23,7 @@
     double free;
     double overload = 2;
     int aggregators = 1;
+    long tickUs = 5_000;
     int perCall = 1;
     long callUs;
     int inARow = 2;
@@ -31,7 +32,7 @@
     List<Routing.Tenant> tenants = List.of();
 
     Routing.Settings build() {
-        return new Routing.Settings(aggregators, List.of("a", "b"), 0, 5_000,
+        return new Routing.Settings(aggregators, List.of("a", "b"), 0, tickUs,
                 List.of(new Routing.QueryClass("search", 1_000_000, 0, 3_000_000, repeat, lateWorth, dedupUs, 1, false,
                         followUp, floor, need, 0.9)),
                 tenants, 0.1, new Routing.Layout(2, inARow, 8, perCall, callUs),
