Quiet connections are asked by what stores usually take; dear probes are fewer

About four in five were the connections' own checks (40 to 90 a second from each broker): FrameConnection.watch asked any store that was quiet for a third of the connect time (83 ms), while a part of a busy fleet takes 100. The rest were Policy.scout's: a broker that sends little hears little, so each probed all replicas again and again, at a price seven times the usual one, which nothing read. Change: Quiet learns, over all stores, within what time nine of ten replies come; a connection is asked after 1.5 times that, no sooner than before and no later than the connect time. PROBES_PER_PART shrinks as a probe's price rises above the usual 0.012, where nothing changes.

--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -35,6 +35,7 @@
     private static final double SERVED_AIMS = 10; // of so long is what warm servers were seen to do
     private static final double COLD_SHARE = 0.6; // of a cold server's budget: work is only estimated
     private static final double PROBES_PER_PART = 0.2; // while queries are answered; all replicas if none is
+    private static final double PROBE_PRICE = 0.012; // beyond it, as many fewer
     private static final long SCOUTS_PER_AIM = 32; // a query waits for its probes for this part of an aim
     private static final double HOPELESS_SHARE = 0.5; // a part unsent with less than this of its work is late
     // of its time a query may wait; up to twice that the more of the load is this aggregator's own
@@ -368,7 +369,8 @@
         s.ledgerUs += own;
         s.callParts = s.callAtUs == now ? s.callParts + 1 : 1;
         s.callAtUs = now;
-        double wanted = PROBES_PER_PART + missed * settings.layout().inARow();
+        double wanted = Math.min(1, PROBE_PRICE / settings.prices().probe())
+                * (PROBES_PER_PART + missed * settings.layout().inARow());
         probeCredit = Math.min(probeCredit + wanted, servers.size());
         actions.send(part.id, s.id, attemptDueUs(part.query));
     }
@@ -1092,12 +1094,7 @@
         if (!changed || e.out() || s == null) {
             return;
         }
-        s.debtUs = 0;
-        s.failuresInARow = 0;
-        s.reported = 0;
-        s.reportedAtUs = 0;
-        s.backUs = now;
-        s.startedUs = now;
+        s.cameBack(now);
         s.coldCredit = random.nextDouble() * unitUs();
         s.coldAtUs = now;
         s.trialUs = now + (long) (random.nextDouble() * TRIAL_WITHIN_US);
--- a/src/main/java/dunlinhitch/decide/State.java
+++ b/src/main/java/dunlinhitch/decide/State.java
@@ -122,6 +122,16 @@
         Server(int id) {
             this.id = id;
         }
+
+        /** As one that has just started: nothing that was learnt of it holds any more. */
+        void cameBack(long nowUs) {
+            debtUs = 0;
+            failuresInARow = 0;
+            reported = 0;
+            reportedAtUs = 0;
+            backUs = nowUs;
+            startedUs = nowUs;
+        }
     }
 
     static final class Attempt {
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
@@ -34,8 +34,7 @@
     private static final int WRITE_QUEUE_BYTES = 512 * 1024;
     /** A wait of so long without a word is more than a busy store's. */
     private static final long SILENT_US = 1_000_000;
-    /** Of the time in which a connection comes up: quiet for the first part, it is asked, and answers within the second. */
-    private static final int QUIET_PART = 3;
+    /** One that was quiet and is asked answers within this part of the time in which a connection comes up. */
     private static final int ANSWER_PART = 2;
 
     /** A part that is out; {@code write} is done once its frame's last byte has left. */
@@ -157,7 +156,7 @@
             return;
         }
         long dueUs = Math.max(heardUs, out.values().iterator().next().sentUs())
-                + shared.limits().connectTimeoutUs() / QUIET_PART;
+                + shared.quiet.longestUs(shared.limits().connectTimeoutUs());
         if (now() >= dueUs) {
             check();
             return;
@@ -342,6 +341,9 @@
             throw new Frames.MalformedException("a reply of the other phase");
         }
         out.remove(id);
+        if (ended != null) {
+            shared.quiet.replied(heardUs - ended.sentUs());
+        }
         if (ended != null || abandoned.remove(id)) { // one that was given up has its one reply behind it now
             remember(answered, id, MOST_ANSWERED);
         } else if (!answered.contains(id)) { // a second copy is only too much; this is somebody's lost reply
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
@@ -38,6 +38,7 @@
         private final Supplier<Limits> limits;
         private final IntSupplier mostConnections;
         private int connections;
+        final Quiet quiet = new Quiet();
         final Reports reports;
         final LongSupplier clock;
         final Consumer<Event> events;
--- a/src/test/java/dunlinhitch/decide/PolicyTest.java
+++ b/src/test/java/dunlinhitch/decide/PolicyTest.java
@@ -627,6 +627,35 @@
         assertEquals(1, s.sent.size());
     }
 
+    /** Each aggregator alone is quiet, so each probes: what all spend together goes by what a probe costs. */
+    @Test
+    void theDearerProbesAreTheFewerAreSent() {
+        long cheap = probesOfSparseQueries(0.012);
+        long dear = probesOfSparseQueries(0.08);
+        assertTrue(cheap >= 15, "probes at the usual price: " + cheap);
+        assertTrue(dear <= 5, "probes at seven times the price: " + dear);
+    }
+
+    private static long probesOfSparseQueries(double price) {
+        Sites site = new Sites();
+        site.probes = true;
+        site.probePrice = price;
+        Script s = pair(site);
+        for (int i = 0; i < 50; i++) { // two parts in 2 s: what was reported is old each time
+            s.query(0, LONG, 0, 1);
+            s.run(100_000);
+            for (Script.Sent sent : List.copyOf(s.sent)) {
+                s.end(sent, Outcome.OK, 0);
+            }
+            s.sent.clear();
+            for (int server = 1; server <= 2; server++) {
+                s.event(new Routing.ProbeEnded(server, Outcome.OK, 2_000, new float[] {0}));
+            }
+            s.run(1_900_000);
+        }
+        return s.done.stream().filter(d -> d.startsWith("probe")).count();
+    }
+
     @Test
     void whenTheWayToAZoneIsSlowItsServersAreLeftWhateverTheyReport() {
         Sites site = new Sites();
--- a/src/test/java/dunlinhitch/decide/Sites.java
+++ b/src/test/java/dunlinhitch/decide/Sites.java
@@ -24,6 +24,7 @@
     double overload = 2;
     int aggregators = 1;
     long tickUs = 5_000;
+    double probePrice;
     int perCall = 1;
     long callUs;
     int inARow = 2;
@@ -40,7 +41,7 @@
                         32, 15_000_000),
                 new Routing.Rules(20_000, 10_000_000, ratio, free, 10_000_000, 0.2, 10_000_000, overload,
                         1_000_000, 500_000),
-                new Routing.Prices(crossing, 0, 0, 0), ask, reports && !probes, reports,
+                new Routing.Prices(crossing, probePrice, 0, 0), ask, reports && !probes, reports,
                 reports ? List.of(ReportField.OUTSTANDING) : List.of(), false);
     }
 
