A cold store that was not heard of is idle to the decisions, not as busy as all

Policy.entry took a server without a report for as busy as the mean of all, and score divides that by its warmth: 257 ms for an idle cold one against 255 for a warm one with five queued. Each of 14 brokers meets a store every 300 ms at best, so all learnt too late, and alike, that the new ones were idle. Change: while a server is cold the mean of others is not added; its own reports count as ever, the cold guard is untouched. A test fails without it.

--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -163,9 +163,11 @@
     }
 
     /** A server's entry: own ledger and reported load of others. An old report says little: with age it
-     * gives way to the mean of all reports, so that the unheard seem neither idle nor busy. */
+     * gives way to the mean of all reports, so that the unheard seem neither idle nor busy. A cold one began
+     * empty and each sends it little: unheard it is idle. Taken for as busy as all it was left to the last
+     * while the warm ones of its cell were jammed. May hurt where others keep no cold guard. */
     private double entry(Server s) {
-        double mean = fleetLoad * faded(fleetAtUs, 4.0 * reportAgeUs);
+        double mean = warmth(s) < 1 ? 0 : fleetLoad * faded(fleetAtUs, 4.0 * reportAgeUs);
         double others = mean + (s.reported - mean) * faded(s.reportedAtUs, reportAgeUs);
         return Math.max(0, s.ledgerUs) + others * unitUs();
     }
--- a/src/test/java/dunlinhitch/decide/PolicyTest.java
+++ b/src/test/java/dunlinhitch/decide/PolicyTest.java
@@ -627,6 +627,27 @@
         assertEquals(1, s.sent.size());
     }
 
+    /** Where many aggregators send each server little, a new one is not heard of for long; it is not busy for that. */
+    @Test
+    void aColdServerThatWasNotHeardOfIsNotTakenForAsBusyAsTheOthers() {
+        Script s = pair(new Sites());
+        for (int i = 0; i < 200; i++) {
+            s.query(0, LONG, 0);
+            s.run(20_000);
+            s.end(s.last(), Outcome.OK, 8);
+        }
+        s.change(Sites.fresh(3, 0, s.now));
+        s.run(3_000_000);
+        s.sent.clear();
+        for (int i = 0; i < 10; i++) { // the warm ones are heard of all the time
+            s.query(0, LONG, 0);
+            s.run(20_000);
+            s.end(s.last(), Outcome.OK, s.last().server() == 3 ? 0 : 8);
+        }
+        long cold = s.sent.stream().filter(x -> x.server() == 3).count();
+        assertTrue(cold >= 3, "sent to the cold one: " + cold);
+    }
+
     /** Each aggregator alone is quiet, so each probes: what all spend together goes by what a probe costs. */
     @Test
     void theDearerProbesAreTheFewerAreSent() {
