A part that was given up is sent again 5 ms later, when its store can know

Read in the code: Reducer.attemptDue put the word to give up and the part's next send into one turn, and a cancel left one tick between them. With a tick of 1 ms the next send reaches a near store before the word reaches a far one (1.3 ms and more); with the 5 ms of earlier sites it could not. Change: the decisions learn of an attempt that was given up no sooner than 5 ms after. A test fails without it.

--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -55,7 +55,16 @@
     private boolean deciding;
     private final PriorityQueue<Due> dues =
             new PriorityQueue<>(Comparator.comparingLong(Due::atUs).thenComparingLong(Due::order));
-    private final List<Routing.Event> owed = new ArrayList<>();
+    /** What the decisions are told in a later turn. */
+    private record Owed(long atUs, Routing.Event event) {
+    }
+
+    /**
+     * Word that an attempt is given up takes so long to any store. The decisions learn of its end only then: sent at once, the
+     * part's next attempt could reach a near store before the word reaches a far one, and two would be out.
+     */
+    private static final long GIVEN_UP_AFTER_US = 5_000;
+    private final List<Owed> owed = new ArrayList<>();
     private final Map<Integer, List<Effect.PartSend>> calls = new LinkedHashMap<>();
     private List<Effect> effects = new ArrayList<>();
     private long now;
@@ -129,16 +138,16 @@
      */
     public List<Effect> turn(long nowUs, List<Event> events) {
         now = Math.max(now, nowUs);
-        List<Routing.Event> ended = List.copyOf(owed);
-        owed.clear();
-        ended.forEach(this::tell);
+        List<Owed> ripe = owed.stream().filter(o -> o.atUs() <= now).toList();
+        owed.removeAll(ripe);
+        ripe.forEach(o -> tell(o.event()));
         if (roster.nextUs() <= now) {
             roster.passed(now);
         }
         events.forEach(this::take);
         ringDue();
         flushCalls();
-        long next = owed.isEmpty() ? Long.MAX_VALUE : now + settings.tickUs();
+        long next = owed.stream().mapToLong(Owed::atUs).min().orElse(Long.MAX_VALUE);
         next = Math.min(next, roster.nextUs());
         next = dues.isEmpty() ? next : Math.min(next, dues.peek().atUs());
         if (next < Long.MAX_VALUE) {
@@ -453,10 +462,18 @@
     private void attemptDue(AttemptRow row) {
         if (row != null) {
             stopWaiting(row);
-            tell(end(row, Outcome.TIMEOUT));
+            oweGivenUp(end(row, Outcome.TIMEOUT));
         }
     }
 
+    private void owe(Routing.Event event) {
+        owed.add(new Owed(now + settings.tickUs(), event));
+    }
+
+    private void oweGivenUp(Routing.Event event) {
+        owed.add(new Owed(now + Math.max(settings.tickUs(), GIVEN_UP_AFTER_US), event));
+    }
+
     /** The decisions end a query before its time is over; one that they left open is ended here. */
     private void queryDue(QueryRow q) {
         if (q != null) {
@@ -500,7 +517,7 @@
             tables.barred.put(name, number);
             List<Effect.PartSend> unsent = calls.remove(number);
             (unsent == null ? List.<Effect.PartSend>of() : unsent).forEach(
-                    send -> owed.add(end(tables.attempts.get(send.attempt()), Outcome.MOOT)));
+                    send -> owe(end(tables.attempts.get(send.attempt()), Outcome.MOOT)));
         } else {
             tables.barred.remove(name);
         }
@@ -529,7 +546,7 @@
             if (part == null) {
                 counters.add(Count.SENDS_BARRED);
                 effects.add(new Effect.Log("barred a send of part " + partNumber + ": it is not open"));
-                owed.add(new Routing.AttemptEnded(partNumber, 0, Outcome.MOOT, server, 0, true, new float[0]));
+                owe(new Routing.AttemptEnded(partNumber, 0, Outcome.MOOT, server, 0, true, new float[0]));
                 return;
             }
             String why = barred(part, store);
@@ -537,7 +554,7 @@
             if (why != null) {
                 counters.add(Count.SENDS_BARRED);
                 effects.add(new Effect.Log("barred a send of " + part.id + ": " + why));
-                owed.add(new Routing.AttemptEnded(partNumber, number, Outcome.MOOT, server, 0, part.over,
+                owe(new Routing.AttemptEnded(partNumber, number, Outcome.MOOT, server, 0, part.over,
                         new float[0]));
                 return;
             }
@@ -608,7 +625,7 @@
             AttemptRow row = tables.attempt(part, attempt);
             if (row != null) {
                 stopWaiting(row);
-                owed.add(end(row, Outcome.CANCELLED));
+                oweGivenUp(end(row, Outcome.CANCELLED));
             }
         }
 
@@ -621,7 +638,7 @@
         public void probe(int server) {
             StoreRow store = tables.stores.get(server);
             if (store == null || isBarred(store)) {
-                owed.add(new Routing.ProbeEnded(server, Outcome.MOOT, 0, new float[0]));
+                owe(new Routing.ProbeEnded(server, Outcome.MOOT, 0, new float[0]));
                 return;
             }
             ProbeRow row = new ProbeRow(++lastProbe, store, now);
--- a/src/main/java/dunlinhitch/decide/Routing.java
+++ b/src/main/java/dunlinhitch/decide/Routing.java
@@ -139,6 +139,12 @@
                     mustAskForList, reportsInAnswers, reportsInProbes, reportFields, marksRepeats);
         }
 
+        /** The same with turns so far apart. */
+        public Settings withTick(long us) {
+            return new Settings(aggregators, zones, zone, us, classes, tenants, overShareWorth, layout, limits, rules, prices,
+                    mustAskForList, reportsInAnswers, reportsInProbes, reportFields, marksRepeats);
+        }
+
         /** The same among so many that share what all may do together. */
         public Settings amongAggregators(int many) {
             return new Settings(many, zones, zone, tickUs, classes, tenants, overShareWorth, layout, limits, rules, prices,
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -17,7 +17,9 @@
 import dunlinhitch.decide.Routing.Settings;
 import dunlinhitch.lab.standin.Stage;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -100,6 +102,29 @@
         assertEquals(0, reducer.open());
     }
 
+    /** Fourteen brokers with turns of 1 ms: a part that was late at a far store was at a near one before the far one knew. */
+    @Test
+    void aPartThatWasGivenUpIsSentAgainOnlyWhenThatStoreCanKnow() {
+        Reducer quick = new Reducer(Stage.settings(40).withTick(1_000), 7, now);
+        quick.turn(now, List.of(new Event.RosterNews(ListKind.FULL,
+                List.of(store("a", 0, ServerState.READY), store("b", 1, ServerState.READY)))));
+        quick.turn(now, List.of(query(1, 0, 4)));
+        Map<Long, Long> givenUp = new HashMap<>();
+        int again = 0;
+        for (long end = now + SECOND; now < end; now += 1_000) {
+            for (Effect effect : quick.turn(now, List.of())) {
+                if (effect instanceof Effect.GiveUp e) {
+                    givenUp.put(e.attempt(), now);
+                } else if (effect instanceof SendCall e && !givenUp.isEmpty()) {
+                    long last = givenUp.values().stream().mapToLong(at -> at).max().orElseThrow();
+                    assertTrue(now - last >= 5_000, "sent again after " + (now - last) + " us");
+                    again += e.parts().size();
+                }
+            }
+        }
+        assertTrue(again > 0, "nothing was sent again");
+    }
+
     @Test
     void aPartThatLeavesAndIsGivenUpInOneTurnIsNeverSent() {
         stores();
