Discovery is asked again after pauses that each broker draws anew

Read in Watch.lost: pauses of 100 ms doubling to 1 s, the same at every broker, so all that lose discovery in one moment ask again in one moment. Change: Pauses draws each from half to the whole of what it was, by the broker's own seed; bounds as before.

--- a/src/main/java/dunlinhitch/roster/Watch.java
+++ b/src/main/java/dunlinhitch/roster/Watch.java
@@ -23,8 +23,6 @@
 public final class Watch implements Source {
     /** An empty line comes every 2 s; what this misses counts as told all the same after 6 s. */
     private static final long SILENT_US = 3_000_000;
-    private static final long FIRST_PAUSE_US = 100_000;
-    private static final long LONGEST_PAUSE_US = 1_000_000;
     private static final int MOST_LINE_BYTES = 4 << 20;
     private static final String LIST = "/registry/instances";
     /** Lists of another discovery are numbered anew: none of its own is known yet. */
@@ -35,12 +33,14 @@
     private final Consumer<Event> events;
     private final LongSupplier clock;
     private final long knownGeneration;
+    private final Pauses pauses;
     private Session current;
     /** The one that is heard until the current one has spoken, or null. */
     private Session before;
     private boolean answered;
 
-    public Watch(Vertx vertx, long knownGeneration, RosterReader reader, Consumer<Event> events, LongSupplier clock) {
+    public Watch(Vertx vertx, long seed, long knownGeneration, RosterReader reader, Consumer<Event> events, LongSupplier clock) {
+        pauses = new Pauses(seed);
         this.vertx = vertx;
         this.knownGeneration = knownGeneration;
         this.reader = reader;
@@ -83,7 +83,7 @@
     @Override
     public void resync() {
         if (current != null) {
-            current.pauseUs = FIRST_PAUSE_US;
+            pauses.heard();
             current.again(clock.getAsLong());
         }
     }
@@ -93,7 +93,6 @@
         private final String host;
         private final int port;
         private long generation;
-        private long pauseUs = FIRST_PAUSE_US;
         private long round;
         private long silentDueUs;
         private boolean ended;
@@ -192,7 +191,7 @@
                 Event.RosterNews news = reader.read(list, false);
                 generation = list.getLong("generation", Math.max(0, generation));
                 answered = true;
-                pauseUs = FIRST_PAUSE_US;
+                pauses.heard();
                 events.accept(news);
             } catch (RuntimeException e) {
                 events.accept(new Event.Noted(Count.BAD_ROSTER_ENTRIES)); // a line that is no list changes nothing
@@ -232,8 +231,7 @@
                 end();
                 return;
             }
-            again(clock.getAsLong() + pauseUs);
-            pauseUs = Math.min(LONGEST_PAUSE_US, 2 * pauseUs);
+            again(clock.getAsLong() + pauses.nextUs());
         }
 
         private void again(long dueUs) {
