Each address of discovery has pauses of its own again

Cause: read again, had one row of pauses for both sessions of a move: word from the old address would have begun the new one's pauses anew each time, and a new address inherited grown ones. Change: a Pauses for each session, as the pause was before, drawn from the watch's seed.

--- a/src/main/java/dunlinhitch/roster/Watch.java
+++ b/src/main/java/dunlinhitch/roster/Watch.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -33,14 +34,14 @@
     private final Consumer<Event> events;
     private final LongSupplier clock;
     private final long knownGeneration;
-    private final Pauses pauses;
+    private final SplittableRandom random;
     private Session current;
     /** The one that is heard until the current one has spoken, or null. */
     private Session before;
     private boolean answered;
 
     public Watch(Vertx vertx, long seed, long knownGeneration, RosterReader reader, Consumer<Event> events, LongSupplier clock) {
-        pauses = new Pauses(seed);
+        random = new SplittableRandom(seed);
         this.vertx = vertx;
         this.knownGeneration = knownGeneration;
         this.reader = reader;
@@ -83,7 +84,7 @@
     @Override
     public void resync() {
         if (current != null) {
-            pauses.heard();
+            current.pauses.heard();
             current.again(clock.getAsLong());
         }
     }
@@ -92,6 +93,7 @@
     private final class Session {
         private final String host;
         private final int port;
+        private final Pauses pauses = new Pauses(random.nextLong());
         private long generation;
         private long round;
         private long silentDueUs;
