A test that serve starts no program and that every thread of it waits

Checked: deploy/balancer.toml already ends run by exec of java, one process; /usr/bin/java is dynamically linked against the C library (file, ldd); the jar bundles no native transport of Netty (no epoll or io_uring library), so sockets are NIO; no ProcessBuilder or Runtime.exec in src/main. So build and run stay as they are.

Change: MainTest starts serve, then reads /proc/PID/task/*/stat until every thread was seen in a waiting state (400 readings at most), reads each task's children list, and checks that neither ProcessBuilder nor ProcessImpl was loaded (-Xlog:class+load).

Measured: passes on the build as it stands; a probe of the same reading on a spinning process (yes) shows state R in every reading, so a spinning thread fails it.

--- a/src/test/java/dunlinhitch/MainTest.java
+++ b/src/test/java/dunlinhitch/MainTest.java
@@ -143,6 +143,65 @@
         }
     }
 
+    /** Each thread of the process by its id, with its state letter of {@code /proc}: R runs, S and D wait. */
+    private static java.util.Map<String, Character> threads(long pid) throws IOException {
+        java.util.Map<String, Character> states = new java.util.TreeMap<>();
+        try (var tasks = Files.list(Path.of("/proc", Long.toString(pid), "task"))) {
+            for (Path task : tasks.toList()) {
+                try {
+                    String stat = Files.readString(task.resolve("stat"));
+                    states.put(task.getFileName().toString(), stat.charAt(stat.lastIndexOf(')') + 2));
+                } catch (IOException ended) { // a thread that ended between the listing and the reading
+                }
+            }
+        }
+        return states;
+    }
+
+    /**
+     * STANDING.md: a broker is one process that starts no program, and a thread that neither waits nor ends for 20 s is
+     * a crash there. So no class that starts a program is loaded, the process has no child, and every thread of it is
+     * seen waiting at least once in 400 readings; a thread that spins is in state R in every one.
+     */
+    @Test
+    void aBrokerStartsNoProgramAndNoThreadOfItSpins() throws Exception {
+        org.junit.jupiter.api.Assumptions.assumeTrue(Files.isDirectory(Path.of("/proc/self/task")), "threads are read in /proc");
+        Vertx vertx = Vertx.vertx();
+        try (Discovery discovery = new Discovery(vertx)) {
+            discovery.list();
+            Path file = dir.resolve("config.json");
+            Files.writeString(file, config(discovery));
+            Process broker = start(file, discovery);
+            List<String> lines = new ArrayList<>();
+            try (var reader = broker.inputReader()) {
+                lines.addAll(read(reader, "n1 listens"));
+                java.util.Set<String> running = new java.util.TreeSet<>(threads(broker.pid()).keySet());
+                for (int reading = 0; reading < 400 && !running.isEmpty(); reading++) {
+                    java.util.Map<String, Character> now = threads(broker.pid());
+                    running.removeIf(id -> !now.containsKey(id) || now.get(id) != 'R');
+                    Thread.sleep(5);
+                }
+                assertEquals(java.util.Set.of(), running, "threads that never waited");
+                String children = "";
+                try (var tasks = Files.list(Path.of("/proc", Long.toString(broker.pid()), "task"))) {
+                    for (Path task : tasks.toList()) {
+                        Path of = task.resolve("children"); // where the kernel keeps the list
+                        children += Files.exists(of) ? Files.readString(of).strip() : "";
+                    }
+                }
+                assertEquals("", children, "processes that the broker started");
+                broker.toHandle().destroy();
+                lines.addAll(read(reader, "faults"));
+            }
+            assertTrue(broker.waitFor(10, TimeUnit.SECONDS));
+            for (String starts : List.of("java.lang.ProcessBuilder ", "java.lang.ProcessImpl ")) {
+                assertFalse(lines.stream().anyMatch(l -> l.contains(starts)), "loaded, and it starts programs: " + starts);
+            }
+        } finally {
+            vertx.close();
+        }
+    }
+
     private static void hangUp(Process broker) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(broker.pid())).start().waitFor());
     }
