A late turn takes the word of the stores first, and a drain's grace runs from due time

What was seen: turns of serving brokers that began 235 to 616 ms after they were due with nothing gathered, the process without processor time. When such a turn comes, Netty reads all that waited and only then runs the turn, so the queries that waited and the word that a store drains or is gone are taken in one turn, in the order of reading. Lines at fault: - Reducer.turn took events in that order (events.forEach(this::take)): a query read before the word sent its parts to the store that the same turn then said was gone or draining. - RosterStage.apply set a drain's told time to the turn's own time (row.toldUs = now), so the reducer's guard allowed the full 250 ms from a reading that was late already.

Change: Reducer.turn takes what is said of the stores (roster news, sources, bars seen by a sibling) before the rest. Loop hands the reducer the moment since which what it reads may have waited (the due time of the turn, or when it was asked for if that is later), and the told time of a drain is that; the guard then bars a send that the grace no longer covers. An operator's bar keeps its place in the order, so the test of unsent parts uses it.

--- a/src/main/java/dunlinhitch/Loop.java
+++ b/src/main/java/dunlinhitch/Loop.java
@@ -26,6 +26,11 @@
     private List<Event> gathered = new ArrayList<>();
     private long lastTurnUs;
     private long wakeUs = Long.MAX_VALUE;
+    /**
+     * When the next turn was asked for, or is due if that is later. A turn that begins after it found the loop without
+     * processor time or busy meanwhile: what it reads may have waited unread since then.
+     */
+    private long sinceUs;
     private long timer = -1;
     private boolean ended;
 
@@ -62,6 +67,7 @@
             timer = -1;
         }
         long now = clock.getAsLong();
+        sinceUs = Math.max(dueUs, now);
         if (dueUs <= now) {
             context.runOnContext(v -> turn(dueUs));
         } else {
@@ -80,7 +86,7 @@
         gathered = new ArrayList<>();
         List<Effect> effects;
         try {
-            effects = reducer.turn(lastTurnUs, events);
+            effects = reducer.turn(lastTurnUs, Math.min(sinceUs, lastTurnUs), events);
         } catch (RuntimeException e) { // the turns that follow still end what is open when its time is over
             faults.accept(e);
             effects = List.of(new Effect.WakeAt(lastTurnUs + tickUs.getAsLong()));
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -68,6 +68,8 @@
     private final Map<Integer, List<Effect.PartSend>> calls = new LinkedHashMap<>();
     private List<Effect> effects = new ArrayList<>();
     private long now;
+    /** Since when what this turn takes may have waited unread. */
+    private long heardUs;
     private long order;
     private int lastNumber;
     private long lastAttempt;
@@ -137,14 +139,27 @@
      * costs the store work beside that of its parts.
      */
     public List<Effect> turn(long nowUs, List<Event> events) {
+        return turn(nowUs, nowUs, events);
+    }
+
+    /**
+     * The same for a turn that may have come late: what it takes may have waited unread since {@code heardSinceUs}
+     * (monotonic µs, at most {@code nowUs}), for the loop had no processor time or was busy. The word that a store drains
+     * counts from then, for the grace of a drain runs from the moment it was written to the broker, not from the moment it
+     * was read. What is said of the stores is taken before the rest, so that no send of this turn goes by a word it
+     * already holds.
+     */
+    public List<Effect> turn(long nowUs, long heardSinceUs, List<Event> events) {
         now = Math.max(now, nowUs);
+        heardUs = Math.min(now, heardSinceUs);
         List<Owed> ripe = owed.stream().filter(o -> o.atUs() <= now).toList();
         owed.removeAll(ripe);
         ripe.forEach(o -> tell(o.event()));
         if (roster.nextUs() <= now) {
             roster.passed(now);
         }
-        events.forEach(this::take);
+        events.stream().filter(Reducer::aboutStores).forEach(this::take);
+        events.stream().filter(event -> !aboutStores(event)).forEach(this::take);
         ringDue();
         flushCalls();
         long next = owed.stream().mapToLong(Owed::atUs).min().orElse(Long.MAX_VALUE);
@@ -162,6 +177,12 @@
         return asked;
     }
 
+    /** What says which stores there are and in what state; a turn takes it first. */
+    private static boolean aboutStores(Event event) {
+        return event instanceof Event.RosterNews || event instanceof Event.SourceSaid || event instanceof Event.SourceSilent
+                || event instanceof Event.SourceNamed || event instanceof Event.BarsSeen;
+    }
+
     private void take(Event event) {
         if (event instanceof Event.QueryTaken e) {
             queryTaken(e);
@@ -183,13 +204,13 @@
         } else if (event instanceof Event.ProbeOver e) {
             probeOver(e.probe(), e.outcome(), e.report());
         } else if (event instanceof Event.RosterNews e) {
-            roster.news(now, e);
+            roster.news(now, heardUs, e);
         } else if (event instanceof Event.SourceNamed e) {
             roster.named(e);
         } else if (event instanceof Event.SourceSaid e) {
-            roster.said(now, e);
+            roster.said(now, heardUs, e);
         } else if (event instanceof Event.SourceSilent e) {
-            roster.silent(now, e);
+            roster.silent(now, heardUs, e);
         } else if (event instanceof Event.DiscoveryNamed e) {
             discoveryNamed(e);
         } else if (event instanceof Event.BarAsked e) {
--- a/src/main/java/dunlinhitch/core/RosterStage.java
+++ b/src/main/java/dunlinhitch/core/RosterStage.java
@@ -54,37 +54,37 @@
         return ++lastStore;
     }
 
-    /** The platform's list, or changes of it. */
-    void news(long now, Event.RosterNews e) {
+    /** The platform's list, or changes of it, heard at {@code toldUs} at the earliest. */
+    void news(long now, long toldUs, Event.RosterNews e) {
         counters.add(Count.ROSTER_NEWS);
         List<Claim> claims = e.stores().stream()
                 .map(entry -> new Claim(entry.name(), entry, now, TimingWheel.NEVER)).toList();
-        apply(now, membership.said(now, DISCOVERY, e.kind() != ListKind.DELTA, claims));
+        apply(now, toldUs, membership.said(now, DISCOVERY, e.kind() != ListKind.DELTA, claims));
     }
 
     void named(Event.SourceNamed e) {
         membership.named(e.source(), e.rank(), false);
     }
 
-    void said(long now, Event.SourceSaid e) {
+    void said(long now, long toldUs, Event.SourceSaid e) {
         counters.add(Count.ROSTER_NEWS);
         long refused = membership.refused();
-        apply(now, membership.said(now, e.source(), e.whole(), e.claims()));
+        apply(now, toldUs, membership.said(now, e.source(), e.whole(), e.claims()));
         counters.add(Count.MEMBERS_REFUSED, membership.refused() - refused);
     }
 
-    void silent(long now, Event.SourceSilent e) {
+    void silent(long now, long toldUs, Event.SourceSilent e) {
         counters.add(Count.ROSTER_LOST);
         List<Change> changes = membership.silent(now, e.source());
         if (!changes.isEmpty()) {
-            apply(now, changes);
+            apply(now, toldUs, changes);
         }
     }
 
     void passed(long now) {
         List<Change> changes = membership.passed(now);
         if (!changes.isEmpty()) {
-            apply(now, changes);
+            apply(now, now, changes);
         }
     }
 
@@ -93,7 +93,8 @@
         return membership.nextUs();
     }
 
-    private void apply(long now, List<Change> changes) {
+    /** {@code toldUs}: when the word may have come, at the earliest; a drain's grace runs from then. */
+    private void apply(long now, long toldUs, List<Change> changes) {
         List<Routing.ServerEntry> told = new ArrayList<>(changes.size());
         tables.storesVersion++;
         for (Change change : changes) {
@@ -115,7 +116,7 @@
             // the grace of a drain is for what was ready until then: one that was gone, or is new, has none
             boolean turns = row.state() == ServerState.READY || entry.state() == ServerState.READY;
             if (row.state() != entry.state() && turns) {
-                row.toldUs = now;
+                row.toldUs = toldUs;
             }
             row.entry = entry;
             if (entry.state() == ServerState.GONE) {
