Module fleet: subsets, turns, signals and the view of many brokers, on a model of the network

Each broker decides well alone; nothing made the sum of a hundred brokers' choices good: all connect to all replicas and each probes the same cold store for itself.

Change: package fleet, pure. Subsets: rendezvous hashing with bounded loads, Guava's murmur3; SubsetRule chooses size and bound from fleet and cell. Turns: who probes by hash of store and epoch, the next in the row stands in for a silent one. Signals: what others saw of a store, merged in any order to the same. View: members in the manner of SWIM. Fleet joins them; who hears nobody goes by the fleet it knew last. FleetWorld plays many of them on virtual time; lab measure fleet-subsets sets them beside all-to-all.

--- a/src/main/java/dunlinhitch/lab/measure/Measures.java
+++ b/src/main/java/dunlinhitch/lab/measure/Measures.java
@@ -29,6 +29,7 @@
         ALL.put("phases", new PhasesMeasure());
         ALL.put("seeds", new SeedsMeasure());
         ALL.put("summaries", new SummariesMeasure());
+        ALL.put("fleet-subsets", new FleetSubsetsMeasure());
     }
 
     private Measures() {
--- a/src/test/java/dunlinhitch/PackagesTest.java
+++ b/src/test/java/dunlinhitch/PackagesTest.java
@@ -23,6 +23,7 @@
             Map.entry("membership", Set.of("membership", "decide")),
             Map.entry("conf", Set.of("conf")),
             Map.entry("phases", Set.of("phases")),
+            Map.entry("fleet", Set.of("fleet")),
             Map.entry("core", Set.of("core", "membership", "phases", "decide")),
             Map.entry("config", Set.of("config", "conf", "decide")),
             Map.entry("intake", Set.of("intake", "core", "decide")),
@@ -67,7 +68,7 @@
     void decisionsHaveNoClockOfTheirOwn() throws IOException {
         Pattern clock = Pattern.compile("System\\.(nanoTime|currentTimeMillis)|Math\\.random|new Random\\(\\)|new Thread|Instant\\.now");
         Map<String, String> wrong = new TreeMap<>();
-        for (String part : List.of("decide", "core", "membership", "phases", "lab/sim")) {
+        for (String part : List.of("decide", "core", "membership", "phases", "fleet", "lab/sim")) {
             for (Path file : sources(ROOT.resolve(part))) {
                 Matcher m = clock.matcher(Files.readString(file));
                 boolean mayLook = file.endsWith("MicroClock.java") || file.endsWith("SimCommands.java"); // the edge's own clock, a progress line
