--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -83,6 +83,7 @@
     private final Stores stores;
     private final List<Source> sources;
     private final RecordSources records;
+    private final FleetLink peers;
     private final Front flight;
     private FlightStores flightStores;
     private final boolean known;
@@ -102,7 +103,10 @@
         this.config = config;
         shared = listener != null && listener.isShared();
         this.log = log;
-        reducer = new Reducer(config.settings(), membership(config), phases(config), config.seed(), startUs);
+        // no class of the fleet is loaded unless the product's own file has a [fleet]
+        peers = config.product().fleet() == null ? null : new FleetLink(vertx, config, clock);
+        reducer = new Reducer(config.settings(), membership(config), phases(config), peers == null ? null : peers.place(),
+                config.seed(), startUs);
         loop = new Loop(vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(reducer::settings);
@@ -206,6 +210,8 @@
                                     flightPort = bound;
                                     log.accept(config.name() + " listens for Arrow Flight on port " + bound);
                                 }).mapEmpty())
+                .compose(v -> peers == null ? Future.succeededFuture() : peers.listen(loop).onSuccess(bound -> log.accept(
+                        config.name() + " hears other brokers on port " + bound)).mapEmpty())
                 .map(v -> {
                     warm = true;
                     if (records != null) {
@@ -304,12 +310,14 @@
             sources.forEach(Source::resync);
         } else if (effect instanceof Effect.FollowDiscovery e) {
             sources.forEach(source -> source.follow(e.host(), e.port()));
+        } else if (effect instanceof Effect.TellPeer e) {
+            peers.tell(e);
         } else if (effect instanceof Effect.Log e) {
             log.accept(e.text());
         } else if (effect instanceof Effect.Finished) {
             sources.forEach(Source::stop);
             Future.join(records == null ? Future.<Void>succeededFuture() : records.close(), http.close(), flight == null ? Future.succeededFuture() : flight.close(),
-                    admin == null ? Future.succeededFuture() : admin.close()).onComplete(done -> {
+                    admin == null ? Future.succeededFuture() : admin.close(), peers == null ? Future.succeededFuture() : peers.close()).onComplete(done -> {
                 stores.close();
                 if (flightStores != null) {
                     flightStores.close();
--- /dev/null
+++ b/src/main/java/dunlinhitch/FleetLink.java
@@ -0,0 +1,71 @@
+package dunlinhitch;
+
+import dunlinhitch.config.Config;
+import dunlinhitch.config.Product;
+import dunlinhitch.core.Effect;
+import dunlinhitch.core.Event;
+import dunlinhitch.core.FleetPlace;
+import dunlinhitch.core.MicroClock;
+import dunlinhitch.fleet.FleetSettings;
+import dunlinhitch.fleet.Peer;
+import dunlinhitch.fleet.SubsetRule;
+import dunlinhitch.fleet.View;
+import dunlinhitch.fleet.ViewSettings;
+import dunlinhitch.peers.PeerSocket;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** This broker's link to the others, where the product's own file has a {@code [fleet]}: its place for the reducer, and the socket. */
+final class FleetLink {
+    /** Of the time between two looks an answer may take so much; then others are asked. */
+    private static final int ANSWER_PART = 3;
+    private static final long FORGET_US = 30_000_000;
+    private static final int FORGET_SUSPICIONS = 10;
+    private static final double PATIENCE = 0.4;
+    private final Vertx vertx;
+    private final Product.Fleet told;
+    private final FleetPlace place;
+    private PeerSocket socket;
+
+    FleetLink(Vertx vertx, Config config, MicroClock clock) {
+        this.vertx = vertx;
+        told = config.product().fleet();
+        long dayMs = System.currentTimeMillis();
+        List<String> zones = config.settings().zones();
+        int zone = config.settings().zone();
+        Peer self = new Peer(config.name(), zone < zones.size() ? Integer.toString(zone) : "", told.advertise().host(),
+                told.advertise().port(), dayMs, Peer.Status.ALIVE);
+        place = new FleetPlace(self, told.peers().stream().map(peer -> new View.Seed(peer.host(), peer.port())).toList(),
+                settings(told), dayMs * 1000 - clock.getAsLong());
+    }
+
+    static FleetSettings settings(Product.Fleet told) {
+        FleetSettings standard = FleetSettings.STANDARD;
+        ViewSettings view = new ViewSettings(told.lookUs(), told.lookUs() / ANSWER_PART, standard.view().helpers(), told.suspectUs(),
+                Math.max(FORGET_US, FORGET_SUSPICIONS * told.suspectUs()), standard.view().mostPeers());
+        return new FleetSettings(new SubsetRule(told.least(), standard.subsets().spread(), told.slack()), view, told.turnUs(),
+                (long) (PATIENCE * told.turnUs()), standard.staleUs(), standard.mostStores());
+    }
+
+    FleetPlace place() {
+        return place;
+    }
+
+    Future<Integer> listen(Consumer<Event> events) {
+        socket = new PeerSocket(vertx, events);
+        return socket.listen(told.listen().host(), told.listen().port());
+    }
+
+    /** What is said before it listens is lost, as any word may be. */
+    void tell(Effect.TellPeer word) {
+        if (socket != null) {
+            socket.tell(word);
+        }
+    }
+
+    Future<Void> close() {
+        return socket == null ? Future.succeededFuture() : socket.close();
+    }
+}
--- a/src/main/java/dunlinhitch/config/Product.java
+++ b/src/main/java/dunlinhitch/config/Product.java
@@ -17,10 +17,11 @@
  * @param stateDir where the last known state is kept, or null
  * @param membership its times, or null for the standard
  * @param phases classes whose queries may go in two phases
+ * @param fleet how this broker knows the others, or null
  */
 public record Product(Address flight, boolean discovery, List<DnsService> dnsSd, Announcement announcement, Path stateDir,
-        MembershipTimes membership, List<Phase> phases) {
-    public static final Product NONE = new Product(null, true, List.of(), null, null, null, List.of());
+        MembershipTimes membership, List<Phase> phases, Fleet fleet) {
+    public static final Product NONE = new Product(null, true, List.of(), null, null, null, List.of(), null);
     /** The form of this file that came before. */
     private static final String OLD = "fronts.json";
 
@@ -29,6 +30,16 @@
         phases = List.copyOf(phases);
     }
 
+    /**
+     * The brokers among themselves: where this one hears the others, where they reach it, where it begins to look for them, how many stores of a cell it keeps to at
+     * least, how uneven that may be (a share over the mean), and how often one of all probes a store.
+     */
+    public record Fleet(Address listen, Address advertise, List<Address> peers, int least, double slack, long lookUs, long suspectUs, long turnUs) {
+        public Fleet {
+            peers = List.copyOf(peers);
+        }
+    }
+
     /** A class whose queries may go in two phases; shares are from 0 to 1. */
     public record Phase(String queryClass, double share, int least, double trial, double audit, double margin, long closeUs) {
     }
@@ -92,6 +103,11 @@
                     .append(" % of the time, from ").append(p.least()).append(" blocks on, audit ")
                     .append(100 * p.audit()).append(" %, trial ").append(100 * p.trial()).append(" %\n");
         }
+        if (fleet != null) {
+            out.append("fleet: hears other brokers on ").append(fleet.listen().host()).append(':').append(fleet.listen().port())
+                    .append(", begins with ").append(fleet.peers().size()).append(" of them, keeps to ").append(fleet.least())
+                    .append(" stores of a cell at least, probes in turns of ").append(fleet.turnUs() / 1000).append(" ms\n");
+        }
         if (announcement != null) {
             out.append("announce: ").append(announcement.instance()).append(" as ").append(announcement.service())
                     .append(" at ").append(announcement.server().host()).append(':').append(announcement.server().port())
--- a/src/main/java/dunlinhitch/config/ProductReader.java
+++ b/src/main/java/dunlinhitch/config/ProductReader.java
@@ -13,6 +13,7 @@
 public final class ProductReader {
     private static final int MOST_RANK = 1000;
     private static final int MOST_INSTANCES = 50_000;
+    private static final long LEAST_LOOK_US = 20_000;
 
     private ProductReader() {
     }
@@ -48,6 +49,15 @@
                 .may("audit", Kind.PERCENT, "2%", "of spared blocks that are asked in full all the same")
                 .may("margin", Kind.PERCENT, "5%", "of the work that must be saved for it to pay")
                 .may("close_for", Kind.DURATION, "1m", "how long it is closed after a block was spared that had something");
+        schema.part("fleet", false)
+                .required("listen", Kind.ADDRESS, "where this broker hears the others (UDP)")
+                .may("advertise", Kind.ADDRESS, null, "where the others reach it (that of listen)")
+                .many("peer", Kind.ADDRESS, true, "where another broker may be heard; its own address may stand among them")
+                .may("least", Kind.COUNT, "2", "stores of a cell that each broker keeps to at the least")
+                .may("slack", Kind.PERCENT, "20%", "how far the brokers at one store may be over the mean")
+                .may("look", Kind.DURATION, "200ms", "how often one other broker is asked whether it lives")
+                .may("suspect", Kind.DURATION, "1s", "how long one that does not answer still counts")
+                .may("turn", Kind.DURATION, "2s", "one of all brokers probes a store so often");
         schema.part("announce", false)
                 .required("server", Kind.ADDRESS, "the zone's primary server")
                 .required("zone", Kind.TEXT, "the zone that is updated")
@@ -71,12 +81,14 @@
             Product.Announcement announcement = null;
             List<Product.DnsService> services = new ArrayList<>();
             List<Product.Phase> phases = new ArrayList<>();
+            Product.Fleet fleet = null;
             for (Block block : schema().read(file)) {
                 switch (block.kind()) {
                     case "flight" -> flight = address(block, "listen");
                     case "dns_sd" -> services.add(service(block));
                     case "phases" -> phases.add(phase(block));
                     case "membership" -> times = times(block);
+                    case "fleet" -> fleet = fleet(block);
                     case "announce" -> announcement = announcement(block);
                     default -> {
                         discovery = block.on("discovery");
@@ -87,7 +99,7 @@
             if (!discovery && services.isEmpty()) {
                 throw new ConfException(file, "discovery is off and there is no [dns_sd NAME]: no store would ever be known");
             }
-            return new Product(flight, discovery, services, announcement, state, times, phases);
+            return new Product(flight, discovery, services, announcement, state, times, phases, fleet);
         } catch (ConfException e) {
             throw new Config.ConfigException(e.getMessage());
         }
@@ -145,6 +157,35 @@
                 block.share("audit"), block.share("margin"), block.durationUs("close_for"));
     }
 
+    private static Product.Fleet fleet(Block block) {
+        Address listen = address(block, "listen");
+        List<Address> peers = block.all("peer").stream().map(text -> Address.parse("peer", text)).toList();
+        for (Address peer : peers) {
+            if (!isIp(peer.host()) || peer.port() == 0) {
+                throw block.wrong("peer", "is an IP address and a port: " + peer.host() + ":" + peer.port());
+            }
+        }
+        Address advertise = block.has("advertise") ? address(block, "advertise") : listen;
+        if (!isIp(advertise.host()) || advertise.port() == 0) {
+            throw block.wrong(block.has("advertise") ? "advertise" : "listen", "is an IP address and a port, for the others are told it: "
+                    + advertise.host() + ":" + advertise.port());
+        }
+        if (block.count("least") < 1) {
+            throw block.wrong("least", "is 1 or more");
+        }
+        if (block.durationUs("look") < LEAST_LOOK_US) {
+            throw block.wrong("look", "is 20ms or more");
+        }
+        if (block.durationUs("suspect") < block.durationUs("look")) {
+            throw block.wrong(block.has("suspect") ? "suspect" : "look", "makes suspect shorter than look");
+        }
+        if (block.durationUs("turn") < LEAST_LOOK_US) {
+            throw block.wrong("turn", "is 20ms or more");
+        }
+        return new Product.Fleet(listen, advertise, peers, (int) Math.min(block.count("least"), Integer.MAX_VALUE), block.share("slack"),
+                block.durationUs("look"), block.durationUs("suspect"), block.durationUs("turn"));
+    }
+
     private static Product.Announcement announcement(Block block) {
         Address address = address(block, "address");
         if (!isIp(address.host())) {
--- a/src/main/java/dunlinhitch/core/Effect.java
+++ b/src/main/java/dunlinhitch/core/Effect.java
@@ -1,5 +1,6 @@
 package dunlinhitch.core;
 
+import dunlinhitch.fleet.Word;
 import dunlinhitch.membership.StoreEntry;
 import java.util.List;
 
@@ -65,6 +66,10 @@
     record FollowDiscovery(String host, int port) implements Effect {
     }
 
+    /** A word for another broker, at its address. */
+    record TellPeer(String host, int port, Word word) implements Effect {
+    }
+
     /** A line for the operators. */
     record Log(String text) implements Effect {
     }
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -3,6 +3,7 @@
 import dunlinhitch.decide.Routing.ListKind;
 import dunlinhitch.decide.Routing.Outcome;
 import dunlinhitch.decide.Routing.Settings;
+import dunlinhitch.fleet.Word;
 import dunlinhitch.membership.Claim;
 import dunlinhitch.membership.StoreEntry;
 import java.util.List;
@@ -97,6 +98,10 @@
     record StopAsked() implements Event {
     }
 
+    /** Another broker said something. */
+    record PeerSaid(Word word) implements Event {
+    }
+
     /** An edge met something worth counting. */
     record Noted(Count what) implements Event {
     }
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -50,6 +50,8 @@
     private final RosterStage roster;
     /** Null where no class goes in two phases. */
     private final PhaseStage phases;
+    /** Null where this broker is none of many that know each other. */
+    private final FleetStage fleet;
     /** What waits for the decisions to have done with an event. */
     private final Deque<Runnable> afterwards = new ArrayDeque<>();
     private boolean deciding;
@@ -87,9 +89,17 @@
     /** {@code membership} null: the defaults for the layout; {@code inTwoPhases}: classes that go so where it pays. */
     public Reducer(Settings settings, MembershipSettings membership, List<PhaseSettings> inTwoPhases, long seed,
             long nowUs) {
+        this(settings, membership, inTwoPhases, null, seed, nowUs);
+    }
+
+    /** The same; {@code place} null: this broker knows no others. */
+    public Reducer(Settings settings, MembershipSettings membership, List<PhaseSettings> inTwoPhases, FleetPlace place, long seed,
+            long nowUs) {
         this.settings = settings;
         now = nowUs;
-        roster = new RosterStage(settings, membership, nowUs, tables, counters, effect -> effects.add(effect), this::tell);
+        fleet = place == null ? null : new FleetStage(place, seed, nowUs, tables, counters, new ForOthers());
+        roster = new RosterStage(settings, membership, nowUs, tables, counters, effect -> effects.add(effect),
+                fleet == null ? this::tell : fleet::roster);
         phases = inTwoPhases.isEmpty() ? null
                 : new PhaseStage(inTwoPhases, new SplittableRandom(seed), new ForPhases(), tables, counters);
         settings.classes().forEach(kind -> tallies.known(kind.name()));
@@ -158,12 +168,16 @@
         if (roster.nextUs() <= now) {
             roster.passed(now);
         }
+        if (fleet != null) {
+            fleet.passed();
+        }
         events.stream().filter(Reducer::aboutStores).forEach(this::take);
         events.stream().filter(event -> !aboutStores(event)).forEach(this::take);
         ringDue();
         flushCalls();
         long next = owed.stream().mapToLong(Owed::atUs).min().orElse(Long.MAX_VALUE);
         next = Math.min(next, roster.nextUs());
+        next = fleet == null ? next : Math.min(next, fleet.nextUs());
         next = dues.isEmpty() ? next : Math.min(next, dues.peek().atUs());
         if (next < Long.MAX_VALUE) {
             effects.add(new Effect.WakeAt(next));
@@ -228,6 +242,14 @@
             endUs = e.dueUs();
         } else if (event instanceof Event.StopAsked) {
             stopping = true;
+            if (fleet != null) {
+                fleet.leave();
+            }
+        } else if (event instanceof Event.PeerSaid e) {
+            counters.add(Count.PEER_WORDS_HEARD);
+            if (fleet != null && !stopping) {
+                fleet.heard(e.word());
+            }
         } else if (event instanceof Event.Noted e) {
             counters.add(e.what());
         }
@@ -376,6 +398,9 @@
         if (outcome.neverRan() && part.mayHaveRunUs == row.sentUs()) {
             part.mayHaveRunUs = -1;
         }
+        if (fleet != null) {
+            fleet.saw(row.store(), outcome, report, false);
+        }
         if (outcome == Outcome.OK && !row.first()) {
             if (!part.over && part.value == null) {
                 part.value = value;
@@ -503,9 +528,20 @@
         }
     }
 
+    private void probe(StoreRow store) {
+        ProbeRow row = new ProbeRow(++lastProbe, store, now);
+        tables.probes.put(row.id(), row);
+        due(now + settings.limits().connectTimeoutUs(), DueKind.PROBE, row.id());
+        counters.add(Count.PROBES_SENT);
+        effects.add(new Effect.Probe(store.number, row.id()));
+    }
+
     private void probeOver(long id, Outcome outcome, float[] report) {
         ProbeRow row = tables.probes.remove(id);
         if (row != null) {
+            if (fleet != null) {
+                fleet.saw(row.store(), outcome, report, true);
+            }
             tell(new Routing.ProbeEnded(row.store().number, outcome, now - row.sentUs(), report));
         }
     }
@@ -662,11 +698,9 @@
                 owe(new Routing.ProbeEnded(server, Outcome.MOOT, 0, new float[0]));
                 return;
             }
-            ProbeRow row = new ProbeRow(++lastProbe, store, now);
-            tables.probes.put(row.id(), row);
-            due(now + settings.limits().connectTimeoutUs(), DueKind.PROBE, row.id());
-            counters.add(Count.PROBES_SENT);
-            effects.add(new Effect.Probe(server, row.id()));
+            if (fleet == null || fleet.mayProbe(store)) {
+                Reducer.this.probe(store);
+            }
         }
 
         @Override
@@ -685,6 +719,38 @@
         }
     }
 
+    /** What the stage for many brokers may do. */
+    private final class ForOthers implements StageHost {
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public void tell(Routing.Event event) {
+            if (deciding) {
+                afterwards.add(() -> Reducer.this.tell(event));
+            } else {
+                Reducer.this.tell(event);
+            }
+        }
+
+        @Override
+        public void owe(Routing.Event event) {
+            Reducer.this.owe(event);
+        }
+
+        @Override
+        public void probe(StoreRow store) {
+            Reducer.this.probe(store);
+        }
+
+        @Override
+        public void effect(Effect effect) {
+            effects.add(effect);
+        }
+    }
+
     /** What the stage for two phases may do. */
     private final class ForPhases implements PhaseStage.Host {
         @Override
--- a/src/main/java/dunlinhitch/lab/standin/Stage.java
+++ b/src/main/java/dunlinhitch/lab/standin/Stage.java
@@ -88,7 +88,7 @@
     }
 
     private Product product(Address flight, Product.DnsService dns) {
-        return new Product(flight, dns == null, dns == null ? List.of() : List.of(dns), announcement, stateDir, times, phases);
+        return new Product(flight, dns == null, dns == null ? List.of() : List.of(dns), announcement, stateDir, times, phases, null);
     }
 
     /** Both stores hold every shard; their zone is the broker's, so that neither costs more. */
--- a/src/test/java/dunlinhitch/PackagesTest.java
+++ b/src/test/java/dunlinhitch/PackagesTest.java
@@ -24,12 +24,13 @@
             Map.entry("conf", Set.of("conf")),
             Map.entry("phases", Set.of("phases")),
             Map.entry("fleet", Set.of("fleet")),
-            Map.entry("core", Set.of("core", "membership", "phases", "decide")),
+            Map.entry("core", Set.of("core", "membership", "phases", "fleet", "decide")),
             Map.entry("config", Set.of("config", "conf", "decide")),
             Map.entry("intake", Set.of("intake", "core", "decide")),
             Map.entry("admin", Set.of("admin", "core", "decide")),
             Map.entry("dispatch", Set.of("dispatch", "core", "membership", "decide")),
             Map.entry("roster", Set.of("roster", "core", "membership", "decide")),
+            Map.entry("peers", Set.of("peers", "core", "fleet")),
             Map.entry("wire", Set.of("wire", "config", "decide")));
 
     @Test
