Audit begun: versions ride on the words of brokers, stragglers are seen, brought up, shut out

Nobody could say which broker acts on older settings or an older list, and one left behind went on deciding.

Change: module audit, pure (Versions, Digest, AuditRule, Stragglers, Verdict): newest settings by the file's time, newest list by its generation among brokers of the same settings; after behind (1.5 s) a straggler is told and asks its source again each second; when more than half have held the newer for shut_out (10 s) the others do not count on it and it refuses queries until it has it. Words carry versions; the watch tells the list's generation.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -91,6 +91,8 @@
     private int flightPort;
     private boolean warm;
     private boolean ending;
+    private Supplier<Config> reread;
+    private long writtenMs;
 
     /** Must be made on the event loop that is to run it. */
     public Broker(Vertx vertx, Context context, Config config, Consumer<String> log) {
@@ -101,6 +103,7 @@
     public Broker(Vertx vertx, Context context, Config config, Consumer<String> log, ClientListener listener) {
         this.vertx = vertx;
         this.config = config;
+        writtenMs = config.writtenMs();
         shared = listener != null && listener.isShared();
         this.log = log;
         // no class of the fleet is loaded unless the product's own file has a [fleet]
@@ -231,7 +234,7 @@
     private boolean ready() {
         boolean told = sources.stream().anyMatch(Source::answered)
                 || (known || records != null && records.restored()) && clock.getAsLong() - startUs > KNOWN_WILL_DO_US;
-        return warm && told && !ending;
+        return warm && told && !ending && !reducer.fenced();
     }
 
     /**
@@ -269,6 +272,8 @@
         vertx.executeBlocking(again::get).onComplete(read -> {
             if (read.succeeded()) {
                 Config.Address discovery = read.result().discovery();
+                writtenMs = read.result().writtenMs();
+                loop.accept(new Event.ConfigWritten(writtenMs));
                 loop.accept(new Event.ConfigTaken(read.result().settings(), discovery.host(), discovery.port()));
                 log.accept("the configuration was taken: classes " + read.result().settings().classes().stream()
                         .map(kind -> kind.name()).toList());
@@ -279,6 +284,22 @@
         });
     }
 
+    /** How the configuration is read again where this broker finds that it is behind the others. */
+    public void rereadBy(Supplier<Config> again) {
+        reread = again;
+    }
+
+    /** A file that is still the one that was taken changes nothing, and is not worth a line. */
+    private void readAgain() {
+        if (reread != null) {
+            vertx.executeBlocking(reread::get).onSuccess(read -> {
+                if (read.writtenMs() != writtenMs) {
+                    reload(() -> read);
+                }
+            });
+        }
+    }
+
     /** The port of the Flight front once it listens, else 0. */
     public int flightPort() {
         return flightPort;
@@ -310,6 +331,8 @@
             sources.forEach(Source::resync);
         } else if (effect instanceof Effect.FollowDiscovery e) {
             sources.forEach(source -> source.follow(e.host(), e.port()));
+        } else if (effect instanceof Effect.ReadAgain) {
+            readAgain();
         } else if (effect instanceof Effect.TellPeer e) {
             peers.tell(e);
         } else if (effect instanceof Effect.Log e) {
--- a/src/main/java/dunlinhitch/FleetLink.java
+++ b/src/main/java/dunlinhitch/FleetLink.java
@@ -1,5 +1,8 @@
 package dunlinhitch;
 
+import dunlinhitch.audit.AuditRule;
+import dunlinhitch.audit.Digest;
+import dunlinhitch.audit.Versions;
 import dunlinhitch.config.Config;
 import dunlinhitch.config.Product;
 import dunlinhitch.core.Effect;
@@ -38,7 +41,9 @@
         Peer self = new Peer(config.name(), zone < zones.size() ? Integer.toString(zone) : "", told.advertise().host(),
                 told.advertise().port(), dayMs, Peer.Status.ALIVE);
         place = new FleetPlace(self, told.peers().stream().map(peer -> new View.Seed(peer.host(), peer.port())).toList(),
-                settings(told), dayMs * 1000 - clock.getAsLong());
+                settings(told), dayMs * 1000 - clock.getAsLong(),
+                new AuditRule(told.behindUs(), AuditRule.STANDARD.againUs(), told.shutOutUs()),
+                new Versions(Main.VERSION, Digest.of(config.settings()), config.writtenMs(), 0));
     }
 
     static FleetSettings settings(Product.Fleet told) {
--- a/src/main/java/dunlinhitch/Rehearsal.java
+++ b/src/main/java/dunlinhitch/Rehearsal.java
@@ -80,7 +80,7 @@
                     Address any = new Address(host, 0);
                     Broker broker = new Broker(vertx, context, new Config("rehearsal", any, null,
                             new Address(host, bound.actualPort()), 1, Json.object(), Config.SOCKETS, settings,
-                            Product.NONE, null), line -> { });
+                            Product.NONE, null, 0), line -> { });
                     return broker.start().compose(port -> {
                         List<Future<Void>> asked = new ArrayList<>();
                         for (int i = 0; i < CLIENTS; i++) {
--- a/src/main/java/dunlinhitch/config/Config.java
+++ b/src/main/java/dunlinhitch/config/Config.java
@@ -13,10 +13,10 @@
 /**
  * What a broker is told at its start: a JSON file, with name and addresses over-ridden by the environment.
  * {@code admin}, where operators call, may be null; {@code known} is the list of stores as the broker last had it, empty if there was none; {@code product} is what its own settings file switches on; {@code scratch} is a
- * folder that the processes of this broker share, or null.
+ * folder that the processes of this broker share, or null; {@code writtenMs} is when the file was written, Unix time in milliseconds.
  */
 public record Config(String name, Address listen, Address admin, Address discovery, long seed, JsonObject known,
-        int sockets, Routing.Settings settings, Product product, Path scratch) {
+        int sockets, Routing.Settings settings, Product product, Path scratch, long writtenMs) {
     /** Where the file does not say how many descriptors the process may hold. */
     public static final int SOCKETS = 1024;
     private static final int LEAST_SOCKETS = 64;
@@ -66,7 +66,7 @@
                     known == null || known.isNull() ? Json.object() : known.asObject(),
                     sockets(root.get("limits")),
                     SettingsReader.read(settings.asObject()), product,
-                    env.getOrDefault(SCRATCH, "").isEmpty() ? null : Path.of(env.get(SCRATCH)));
+                    env.getOrDefault(SCRATCH, "").isEmpty() ? null : Path.of(env.get(SCRATCH)), written(file));
         } catch (ConfigException e) {
             throw new ConfigException(file + ": " + e.getMessage());
         } catch (RuntimeException e) {
@@ -74,6 +74,14 @@
         }
     }
 
+    private static long written(Path file) {
+        try {
+            return Math.max(0, Files.getLastModifiedTime(file).toMillis());
+        } catch (IOException e) {
+            return 0; // it was there a moment ago: older than any
+        }
+    }
+
     private static Address admin(String text) {
         return text.isEmpty() ? null : Address.parse("admin_addr", text);
     }
--- a/src/main/java/dunlinhitch/config/Product.java
+++ b/src/main/java/dunlinhitch/config/Product.java
@@ -32,9 +32,11 @@
 
     /**
      * The brokers among themselves: where this one hears the others, where they reach it, where it begins to look for them, how many stores of a cell it keeps to at
-     * least, how uneven that may be (a share over the mean), and how often one of all probes a store.
+     * least, how uneven that may be (a share over the mean), how often one of all probes a store, when one on
+     * older versions is a straggler and when it is shut out.
      */
-    public record Fleet(Address listen, Address advertise, List<Address> peers, int least, double slack, long lookUs, long suspectUs, long turnUs) {
+    public record Fleet(Address listen, Address advertise, List<Address> peers, int least, double slack, long lookUs, long suspectUs, long turnUs,
+            long behindUs, long shutOutUs) {
         public Fleet {
             peers = List.copyOf(peers);
         }
--- a/src/main/java/dunlinhitch/config/ProductReader.java
+++ b/src/main/java/dunlinhitch/config/ProductReader.java
@@ -57,7 +57,9 @@
                 .may("slack", Kind.PERCENT, "20%", "how far the brokers at one store may be over the mean")
                 .may("look", Kind.DURATION, "200ms", "how often one other broker is asked whether it lives")
                 .may("suspect", Kind.DURATION, "1s", "how long one that does not answer still counts")
-                .may("turn", Kind.DURATION, "2s", "one of all brokers probes a store so often");
+                .may("turn", Kind.DURATION, "2s", "one of all brokers probes a store so often")
+                .may("behind", Kind.DURATION, "1500ms", "on older settings or an older list for so long a broker is a straggler")
+                .may("shut_out", Kind.DURATION, "10s", "when most have held the newer for so long it is shut out");
         schema.part("announce", false)
                 .required("server", Kind.ADDRESS, "the zone's primary server")
                 .required("zone", Kind.TEXT, "the zone that is updated")
@@ -182,8 +184,12 @@
         if (block.durationUs("turn") < LEAST_LOOK_US) {
             throw block.wrong("turn", "is 20ms or more");
         }
+        if (block.durationUs("behind") < LEAST_LOOK_US || block.durationUs("shut_out") <= block.durationUs("behind")) {
+            throw block.wrong(block.has("shut_out") ? "shut_out" : "behind", "makes a straggler shut out before it is seen, or in under 20ms");
+        }
         return new Product.Fleet(listen, advertise, peers, (int) Math.min(block.count("least"), Integer.MAX_VALUE), block.share("slack"),
-                block.durationUs("look"), block.durationUs("suspect"), block.durationUs("turn"));
+                block.durationUs("look"), block.durationUs("suspect"), block.durationUs("turn"), block.durationUs("behind"),
+                block.durationUs("shut_out"));
     }
 
     private static Product.Announcement announcement(Block block) {
--- a/src/main/java/dunlinhitch/core/Effect.java
+++ b/src/main/java/dunlinhitch/core/Effect.java
@@ -62,6 +62,10 @@
     record Resync() implements Effect {
     }
 
+    /** The configuration is to be read again. */
+    record ReadAgain() implements Effect {
+    }
+
     /** The list of stores is from now on asked for at that address. */
     record FollowDiscovery(String host, int port) implements Effect {
     }
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -102,6 +102,14 @@
     record PeerSaid(Word word) implements Event {
     }
 
+    /** The platform's list that was told last is of that generation. */
+    record RosterNumbered(long generation) implements Event {
+    }
+
+    /** The file with the configuration that is taken next was written then, Unix time in milliseconds. */
+    record ConfigWritten(long writtenMs) implements Event {
+    }
+
     /** An edge met something worth counting. */
     record Noted(Count what) implements Event {
     }
--- a/src/main/java/dunlinhitch/core/FleetPlace.java
+++ b/src/main/java/dunlinhitch/core/FleetPlace.java
@@ -1,5 +1,7 @@
 package dunlinhitch.core;
 
+import dunlinhitch.audit.AuditRule;
+import dunlinhitch.audit.Versions;
 import dunlinhitch.fleet.FleetSettings;
 import dunlinhitch.fleet.Peer;
 import dunlinhitch.fleet.View;
@@ -12,8 +14,11 @@
  * @param seeds where others may be heard
  * @param settings what holds for all
  * @param dayOffsetUs what the day's clock is ahead of the loop's, in microseconds, as measured at the start
+ * @param audit when a broker is a straggler
+ * @param versions what it acts on at its start
  */
-public record FleetPlace(Peer self, List<View.Seed> seeds, FleetSettings settings, long dayOffsetUs) {
+public record FleetPlace(Peer self, List<View.Seed> seeds, FleetSettings settings, long dayOffsetUs, AuditRule audit,
+        Versions versions) {
     public FleetPlace {
         seeds = List.copyOf(seeds);
     }
--- a/src/main/java/dunlinhitch/core/FleetStage.java
+++ b/src/main/java/dunlinhitch/core/FleetStage.java
@@ -1,5 +1,9 @@
 package dunlinhitch.core;
 
+import dunlinhitch.audit.Digest;
+import dunlinhitch.audit.Stragglers;
+import dunlinhitch.audit.Verdict;
+import dunlinhitch.audit.Versions;
 import dunlinhitch.core.Tables.StoreRow;
 import dunlinhitch.decide.Routing;
 import dunlinhitch.decide.Routing.ListKind;
@@ -13,6 +17,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -32,6 +37,12 @@
     private final Counters counters;
     private final long dayOffsetUs;
     private final Fleet fleet;
+    private final Stragglers stragglers;
+    private final String self;
+    private Versions versions;
+    private long writtenMs;
+    private long viewVersion;
+    private boolean fenced;
     /** As the roster has them, by number. */
     private final Map<Integer, ServerEntry> entries = new HashMap<>();
     private Set<String> kept = Set.of();
@@ -43,7 +54,37 @@
         this.tables = tables;
         this.counters = counters;
         dayOffsetUs = place.dayOffsetUs();
+        self = place.self().name();
+        versions = place.versions();
+        stragglers = new Stragglers(place.audit(), self, versions);
         fleet = new Fleet(place.self(), place.seeds(), place.settings(), seed, nowUs, new Acts());
+        fleet.view().acts(versions);
+    }
+
+    /** True while this broker is too far behind to decide anything safely: it lets nothing new in. */
+    boolean fenced() {
+        return fenced;
+    }
+
+    /** Discovery's list that was told is of that generation. */
+    void numbered(long generation) {
+        acts(versions.withRoster(generation));
+    }
+
+    /** The settings file that is taken next was written then. */
+    void written(long ms) {
+        writtenMs = ms;
+    }
+
+    void settingsTaken(Routing.Settings settings) {
+        String digest = Digest.of(settings);
+        acts(digest.equals(versions.settings()) ? versions : versions.withSettings(digest, writtenMs));
+    }
+
+    private void acts(Versions on) {
+        versions = on;
+        fleet.view().acts(on);
+        stragglers.told(host.now(), self, on);
     }
 
     Fleet fleet() {
@@ -117,6 +158,9 @@
 
     void heard(Word word) {
         fleet.heard(host.now(), dayUs(), word);
+        if (word.versions() != null && word.from().takesPart()) {
+            stragglers.told(host.now(), word.from().name(), word.versions());
+        }
         tellTurned();
     }
 
@@ -125,10 +169,43 @@
             fleet.passed(host.now(), dayUs());
             tellTurned();
         }
+        if (viewVersion != fleet.view().version()) {
+            viewVersion = fleet.view().version();
+            Set<String> there = fleet.view().members();
+            stragglers.held().keySet().stream().filter(name -> !there.contains(name))
+                    .forEach(name -> stragglers.left(host.now(), name));
+        }
+        if (stragglers.nextUs() <= host.now()) {
+            stragglers.passed(host.now()).forEach(this::follow);
+        }
     }
 
     long nextUs() {
-        return fleet.nextUs(host.now(), dayUs());
+        return Math.min(stragglers.nextUs(), fleet.nextUs(host.now(), dayUs()));
+    }
+
+    private void follow(Verdict v) {
+        boolean own = v.broker().equals(self);
+        String who = own ? "this broker" : "broker " + v.broker();
+        String acts = "it acts on " + v.kind().name().toLowerCase(Locale.ROOT) + " " + v.has() + ", and " + v.newest() + " is newest, for "
+                + v.behindUs() / 1000 + " ms";
+        switch (v.step()) {
+            case SEEN -> {
+                counters.add(Count.STRAGGLERS_SEEN);
+                host.effect(new Effect.Log(who + " is behind: " + acts));
+            }
+            case BRING_UP -> host.effect(v.kind() == Verdict.Kind.ROSTER ? new Effect.Resync() : new Effect.ReadAgain());
+            case SHUT_OUT -> {
+                counters.add(Count.STRAGGLERS_SHUT_OUT);
+                host.effect(new Effect.Log(who + " is shut out: " + acts + (own ? "; it takes no query until it has that" : "")));
+            }
+            case CAUGHT_UP, LET_IN -> host.effect(new Effect.Log(who + " has caught up: "
+                    + v.kind().name().toLowerCase(Locale.ROOT) + " " + v.has() + ", after " + v.behindUs() / 1000 + " ms"));
+        }
+        Set<String> shut = stragglers.shutOut();
+        fenced = shut.contains(self);
+        fleet.shutOut(shut);
+        tellTurned();
     }
 
     /** An attempt or probe at that store came to an end. */
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -139,6 +139,11 @@
         return roster.membership();
     }
 
+    /** True while this broker acts on what is too far out of date to decide by. */
+    public boolean fenced() {
+        return fleet != null && fleet.fenced();
+    }
+
     /** Queries that still wait for their answer. */
     public int open() {
         return tables.queries.size();
@@ -245,6 +250,14 @@
             if (fleet != null) {
                 fleet.leave();
             }
+        } else if (event instanceof Event.RosterNumbered e) {
+            if (fleet != null) {
+                fleet.numbered(e.generation());
+            }
+        } else if (event instanceof Event.ConfigWritten e) {
+            if (fleet != null) {
+                fleet.written(e.writtenMs());
+            }
         } else if (event instanceof Event.PeerSaid e) {
             counters.add(Count.PEER_WORDS_HEARD);
             if (fleet != null && !stopping) {
@@ -279,7 +292,7 @@
         QueryAsk ask = e.ask().dueBy(endUs).under(queryClass < 0 ? e.ask().kind() : settings.classes().get(queryClass));
         counters.add(Count.QUERIES_TAKEN);
         boolean full = queryClass < 0 // dropped since it was read
-                || stopping || tables.held() + 1 + ask.parts().size() > settings.limits().mostHeld();
+                || stopping || fenced() || tables.held() + 1 + ask.parts().size() > settings.limits().mostHeld();
         if (full || ask.deadlineUs() <= now || tables.byId.containsKey(ask.id())) {
             counters.add(Count.TURNED_AWAY);
             long comeBackUs = settings.limits().retryAfter() ? settings.limits().maxRetryAfterUs() : 0;
@@ -325,6 +338,9 @@
         counters.add(Count.CONFIGURATIONS_TAKEN);
         settings = e.settings();
         settings.classes().forEach(kind -> tallies.known(kind.name()));
+        if (fleet != null) {
+            fleet.settingsTaken(settings);
+        }
         share(siblingUs);
         discoveryNamed(new Event.DiscoveryNamed(e.host(), e.port()));
     }
--- a/src/main/java/dunlinhitch/fleet/Fleet.java
+++ b/src/main/java/dunlinhitch/fleet/Fleet.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * What one broker does as one of many: which stores it keeps to, whose turn a probe is, what it passes on and believes of
@@ -76,6 +77,7 @@
     private Set<String> kept = Set.of();
     private Set<String> members;
     private Map<String, String> zones = new HashMap<>();
+    private Set<String> shut = Set.of();
     private long changes;
     private long takenOver;
 
@@ -91,6 +93,12 @@
         zones.put(self.name(), self.zone());
     }
 
+    /** Brokers that are not counted on: they act on what is out of date. */
+    public void shutOut(Set<String> names) {
+        shut = Set.copyOf(names);
+        settle();
+    }
+
     /** The brokers that turns and subsets go by. */
     public Set<String> members() {
         return members;
@@ -329,6 +337,10 @@
     /** Brings what it keeps to in line with who takes part, what the roster says and which stores fail. */
     private void settle() {
         Set<String> now = view.alone() ? members : view.members();
+        if (!shut.isEmpty()) {
+            now = new TreeSet<>(now);
+            now.removeIf(name -> shut.contains(name) && !name.equals(view.self().name()));
+        }
         boolean others = !now.equals(members);
         if (others) {
             members = now;
--- a/src/main/java/dunlinhitch/fleet/View.java
+++ b/src/main/java/dunlinhitch/fleet/View.java
@@ -1,5 +1,6 @@
 package dunlinhitch.fleet;
 
+import dunlinhitch.audit.Versions;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -64,6 +65,7 @@
     private int largest = 1;
     private long version;
     private long refused;
+    private Versions versions;
 
     /**
      * {@code self} is alive under an incarnation later than any before: the time of its start will do. {@code riding}: what else goes with
@@ -116,6 +118,11 @@
         return refused;
     }
 
+    /** What this broker acts on; each word says it. */
+    public void acts(Versions on) {
+        versions = on;
+    }
+
     /** When {@link #passed} is to be called next, in microseconds of the clock that it is given. */
     public long nextUs() {
         long next = nextLookUs;
@@ -306,7 +313,7 @@
                 news.add(peer);
             }
         }
-        out.send(host, port, new Word(kind, self, number, about, news, riding.get()));
+        out.send(host, port, new Word(kind, self, number, about, versions, news, riding.get()));
     }
 
     /** What was told least often first; what was told often enough, by the size of the fleet, is news no more. */
--- a/src/main/java/dunlinhitch/fleet/Word.java
+++ b/src/main/java/dunlinhitch/fleet/Word.java
@@ -1,5 +1,6 @@
 package dunlinhitch.fleet;
 
+import dunlinhitch.audit.Versions;
 import java.util.List;
 
 /**
@@ -9,10 +10,11 @@
  * @param from who says it
  * @param number the look it belongs to; an answer repeats it
  * @param about whom to ask, for {@link Kind#ASK}; for the answer to it whom the answer is of; else empty
+ * @param versions what who says it acts on, or null
  * @param peers what is held of brokers
  * @param signals what was seen of stores
  */
-public record Word(Kind kind, Peer from, long number, String about, List<Peer> peers, List<Signal> signals) {
+public record Word(Kind kind, Peer from, long number, String about, Versions versions, List<Peer> peers, List<Signal> signals) {
     /** LOOK: are you there. THERE: I am. ASK: look at that one for me. JOIN: the same as LOOK, and tell me of all. LEAVE: I
      * end. NEWS: only what rides on it. */
     public enum Kind { LOOK, THERE, ASK, JOIN, LEAVE, NEWS }
--- a/src/main/java/dunlinhitch/lab/fleet/RigClients.java
+++ b/src/main/java/dunlinhitch/lab/fleet/RigClients.java
@@ -53,11 +53,21 @@
         });
     }
 
+    /** Queries that came to an end so far. */
+    public int ended() throws Exception {
+        return rig.onLoop(() -> asked - open);
+    }
+
     /** What is worth a look, a line each. */
     public List<String> notes() throws Exception {
         return rig.onLoop(() -> List.copyOf(notes));
     }
 
+    /** What a broker that runs must never do to a query. */
+    public static boolean isBreach(End end) {
+        return end == End.LOST || end == End.LATE || end == End.WRONG;
+    }
+
     private void ask(Rig.Node node) {
         if (asked >= MOST) {
             return;
--- a/src/main/java/dunlinhitch/lab/standin/Discovery.java
+++ b/src/main/java/dunlinhitch/lab/standin/Discovery.java
@@ -57,6 +57,13 @@
         watches.forEach(watch -> watch.write(line + "\n"));
     }
 
+    /** The same, and who begins a watch from now on is told the whole list of that generation. */
+    public void change(List<String> whole, String... entries) {
+        change(entries);
+        generation--;
+        list(whole.toArray(String[]::new));
+    }
+
     private String line(boolean reset, String... entries) {
         return "{\"generation\":" + ++generation + ",\"reset\":" + reset + ",\"instances\":["
                 + String.join(",", entries) + "]}";
--- a/src/main/java/dunlinhitch/lab/standin/Stage.java
+++ b/src/main/java/dunlinhitch/lab/standin/Stage.java
@@ -70,7 +70,7 @@
     public void start(Routing.Settings settings, Product.DnsService dns) throws Exception {
         Address any = new Address("127.0.0.1", 0);
         Config config = new Config("n0", any, any, new Address("127.0.0.1", discovery.port()), 7, Json.object(), sockets,
-                settings, product(any, dns), scratch);
+                settings, product(any, dns), scratch, 0);
         Context context = vertx.getOrCreateContext();
         CompletableFuture<Integer> port = new CompletableFuture<>();
         context.runOnContext(v -> {
--- a/src/main/java/dunlinhitch/peers/WordText.java
+++ b/src/main/java/dunlinhitch/peers/WordText.java
@@ -4,6 +4,7 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
+import dunlinhitch.audit.Versions;
 import dunlinhitch.fleet.Peer;
 import dunlinhitch.fleet.Signal;
 import dunlinhitch.fleet.Word;
@@ -12,7 +13,7 @@
 import java.util.Locale;
 
 /**
- * A word between brokers as JSON text, one in a datagram: {@code v} 1, {@code kind}, {@code from} (a peer), {@code number}, {@code about}, {@code peers},
+ * A word between brokers as JSON text, one in a datagram: {@code v} 1, {@code kind}, {@code from} (a peer), {@code number}, {@code about}, {@code versions}, {@code peers},
  * {@code signals}. Unknown keys are passed over, so that a later version can say more; another {@code v} can not be read.
  */
 final class WordText {
@@ -27,8 +28,9 @@
         word.peers().forEach(peer -> peers.add(peer(peer)));
         JsonArray signals = new JsonArray();
         word.signals().forEach(signal -> signals.add(signal(signal)));
-        return Json.object().add("v", VERSION).add("kind", lower(word.kind())).add("from", peer(word.from()))
-                .add("number", word.number()).add("about", word.about()).add("peers", peers).add("signals", signals).toString();
+        JsonObject root = Json.object().add("v", VERSION).add("kind", lower(word.kind())).add("from", peer(word.from()))
+                .add("number", word.number()).add("about", word.about()).add("peers", peers).add("signals", signals);
+        return (word.versions() == null ? root : root.add("versions", versions(word.versions()))).toString();
     }
 
     /** Throws a RuntimeException on what is no word of this version. */
@@ -47,7 +49,8 @@
             signals.add(signal(signal.asObject()));
         }
         return new Word(Word.Kind.valueOf(upper(root.getString("kind", ""))), peer(root.get("from").asObject()),
-                root.get("number").asLong(), root.getString("about", ""), peers, signals);
+                root.get("number").asLong(), root.getString("about", ""),
+                root.get("versions") == null ? null : versions(root.get("versions").asObject()), peers, signals);
     }
 
     private static JsonArray items(JsonObject root, String key) {
@@ -71,6 +74,16 @@
                 o.get("incarnation").asLong(), Peer.Status.valueOf(upper(o.getString("status", ""))));
     }
 
+    private static JsonObject versions(Versions v) {
+        return Json.object().add("build", v.build()).add("settings", v.settings()).add("settings_ms", v.settingsMs())
+                .add("roster", v.roster());
+    }
+
+    private static Versions versions(JsonObject o) {
+        return new Versions(o.getString("build", ""), o.getString("settings", ""), o.get("settings_ms").asLong(),
+                o.get("roster").asLong());
+    }
+
     private static JsonObject signal(Signal s) {
         JsonArray report = new JsonArray();
         s.report().forEach(value -> report.add(value.floatValue()));
--- a/src/main/java/dunlinhitch/roster/Watch.java
+++ b/src/main/java/dunlinhitch/roster/Watch.java
@@ -195,6 +195,7 @@
                 answered = true;
                 pauses.heard();
                 events.accept(news);
+                events.accept(new Event.RosterNumbered(generation));
             } catch (RuntimeException e) {
                 events.accept(new Event.Noted(Count.BAD_ROSTER_ENTRIES)); // a line that is no list changes nothing
                 return;
