--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -142,6 +142,7 @@
             context.runOnContext(v -> {
                 try {
                     broker[0] = new Broker(vertx, context, config, System.out::println, listener);
+                    broker[0].rereadBy(file::again);
                 } catch (RuntimeException | LinkageError e) {
                     fault[0] = e;
                     started.countDown();
@@ -158,11 +159,15 @@
                             started.countDown();
                         });
             });
-            Signals.on("HUP", () -> context.runOnContext(v -> {
+            boolean heeded = Signals.on("HUP", () -> context.runOnContext(v -> {
                 if (broker[0] != null) {
                     broker[0].reload(file::again);
                 }
             }));
+            if (!heeded) {
+                System.out.println("SIGHUP is ignored, as by nohup: the configuration will not be read again on it; start this by "
+                        + "'env --default-signal=HUP'");
+            }
             Runtime.getRuntime().addShutdownHook(new Thread(() -> finish(context, broker[0]), "finish"));
             started.await();
             if (fault[0] != null) {
--- a/src/main/java/dunlinhitch/Signals.java
+++ b/src/main/java/dunlinhitch/Signals.java
@@ -10,8 +10,11 @@
     private Signals() {
     }
 
-    /** Runs the task, on a thread of the JVM's, whenever the process gets the signal of that name. */
-    static void on(String name, Runnable task) {
+    /**
+     * Runs the task, on a thread of the JVM's, whenever the process gets the signal of that name. False where it never will: whoever started
+     * the process had it ignored (nohup does so for SIGHUP), and then the JVM leaves SIGHUP, SIGINT and SIGTERM ignored whatever is asked of it.
+     */
+    static boolean on(String name, Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -25,8 +28,9 @@
                         case "equals" -> self == arguments[0];
                         default -> name;
                     });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
+            return !handler.getField("SIG_IGN").get(null).equals(before);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("no signal " + name + " on this JVM", e);
         }
--- a/src/test/java/dunlinhitch/MainTest.java
+++ b/src/test/java/dunlinhitch/MainTest.java
@@ -135,7 +135,7 @@
             assertTrue(lines.contains("queries_taken 0"), "counters are printed at exit");
             for (String off : List.of("org.apache.arrow", "org.xbill", "org.bouncycastle", "org.apache.commons.text",
                     "dunlinhitch.lab", "dunlinhitch.conf.", "dunlinhitch.roster.dnssd", "dunlinhitch.RecordSources", "org.HdrHistogram",
-                    "org.roaringbitmap", "dunlinhitch.phases.Phases", "dunlinhitch.fleet", "dunlinhitch.peers", "dunlinhitch.core.Fleet",
+                    "org.roaringbitmap", "dunlinhitch.phases.Phases", "dunlinhitch.fleet", "dunlinhitch.audit", "dunlinhitch.peers", "dunlinhitch.core.Fleet",
                     "dunlinhitch.FleetLink", "com.google.common")) {
                 assertFalse(lines.stream().anyMatch(l -> l.contains(off)), "loaded, though nothing asks for it: " + off);
             }
@@ -207,6 +207,47 @@
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(broker.pid())).start().waitFor());
     }
 
+    /** A process that is started with SIGHUP ignored, {@code before} it the words that start it; the lines up to one that begins so. */
+    private List<String> underNohup(Path file, Discovery discovery, String before, String until, boolean hangUp) throws Exception {
+        Process broker = new ProcessBuilder("/bin/sh", "-c", "trap '' HUP; exec " + before + " \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp", System.getProperty("java.class.path"),
+                "dunlinhitch.Main", "serve", "--config", file.toString()).redirectErrorStream(true).start();
+        try (var reader = broker.inputReader()) {
+            List<String> lines = read(reader, "n1 listens");
+            if (hangUp) {
+                hangUp(broker);
+                lines.addAll(read(reader, until));
+            }
+            return lines;
+        } finally {
+            broker.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+        }
+    }
+
+    /**
+     * Roll days at full size, started by nohup: no broker heeded SIGHUP, all followed the discovery that had closed, and sent to stores that the
+     * new one had withdrawn. A JVM leaves SIGHUP ignored that was so at its start; the deploy file's words before it undo that, and without
+     * them the broker says so.
+     */
+    @Test
+    void aBrokerThatIsStartedByNohupHeedsTheSignalAllTheSame() throws Exception {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(line -> line.startsWith("run = ")).findFirst()
+                .orElseThrow();
+        String before = run.substring(run.indexOf("exec ") + 5, run.indexOf("java "));
+        Vertx vertx = Vertx.vertx();
+        try (Discovery discovery = new Discovery(vertx)) {
+            discovery.list();
+            Path file = dir.resolve("config.json");
+            Files.writeString(file, config(discovery));
+            List<String> lines = underNohup(file, discovery, before, "the configuration was taken", true);
+            assertTrue(lines.stream().noneMatch(line -> line.startsWith("SIGHUP is ignored")), lines.toString());
+            lines = underNohup(file, discovery, "", "", false);
+            assertTrue(lines.stream().anyMatch(line -> line.startsWith("SIGHUP is ignored")), lines.toString());
+        } finally {
+            vertx.close();
+        }
+    }
+
     /**
      * SIGHUP ends a JVM that does not heed it. The file goes before the environment then; lists of the new address are
      * numbered anew, so its whole list comes first; a file that can not be read changes nothing.
