A word between brokers can not say what nobody could gainsay

Need: read again, an incarnation near the largest long in a spoofed word would overflow where the accused gainsays it, and a moment of sight below 0 would make a signal that never goes stale. Change: bounds in Peer and Signal, so that such a word is counted as unread; the javadoc of Stragglers reflowed.

--- a/src/main/java/dunlinhitch/audit/Stragglers.java
+++ b/src/main/java/dunlinhitch/audit/Stragglers.java
@@ -13,9 +13,9 @@
  * verdicts come out; time is given.
  *
  * <p>Bounds: a broker is seen as a straggler {@code boundUs} after this one has heard both of the newer version and of the one that the
- * straggler holds; it is shut out {@code shutUs} after more than half of the brokers were heard to hold the newer: while a change
- * is brought to one broker after the other nobody is shut out for not having it, and one that says strange things shuts out nobody. A broker that is itself behind knows it as soon as it hears of
- * the newer version from anyone, and goes by the same times.
+ * straggler holds; it is shut out {@code shutUs} after more than half of the brokers were heard to hold the newer. So while a change
+ * is brought to one broker after the other nobody is shut out for not having it, and one that says strange things shuts out nobody.
+ * A broker that is itself behind knows it as soon as it hears of the newer version from anyone, and goes by the same times.
  */
 public final class Stragglers {
     /** One broker's standing in one kind. */
--- a/src/main/java/dunlinhitch/fleet/Peer.java
+++ b/src/main/java/dunlinhitch/fleet/Peer.java
@@ -11,12 +11,16 @@
  * @param status what is held of it
  */
 public record Peer(String name, String zone, String host, int port, long incarnation, Status status) {
+    /** Incarnations are times of a start in milliseconds and a few: beyond this nobody could gainsay one. */
+    static final long MOST_INCARNATION = 1_000_000_000_000_000L;
+
     /** LEFT: it said itself that it ends. */
     public enum Status { ALIVE, SUSPECT, DEAD, LEFT }
 
     public Peer {
-        if (name.isEmpty() || host.isEmpty() || port < 1 || port > 65_535 || incarnation < 0) {
-            throw new IllegalArgumentException("a broker has a name, an address and an incarnation from 0 on: " + name + " at "
+        if (name.isEmpty() || host.isEmpty() || port < 1 || port > 65_535 || incarnation < 0
+                || incarnation > MOST_INCARNATION) {
+            throw new IllegalArgumentException("a broker has a name, an address and an incarnation from 0 to 1e15: " + name + " at "
                     + host + ":" + port + ", " + incarnation);
         }
     }
--- a/src/main/java/dunlinhitch/fleet/Signal.java
+++ b/src/main/java/dunlinhitch/fleet/Signal.java
@@ -16,9 +16,9 @@
  */
 public record Signal(String store, long startedMs, String author, long number, long seenUs, List<Float> report, int failed) {
     public Signal {
-        if (store.isEmpty() || author.isEmpty() || number < 0 || failed < 0) {
+        if (store.isEmpty() || author.isEmpty() || number < 0 || failed < 0 || seenUs < 0 || startedMs < 0) {
             throw new IllegalArgumentException("a signal names its store and author and counts from 0: " + store + ", " + author
-                    + ", " + number + ", " + failed);
+                    + ", " + number + ", " + failed + ", seen " + seenUs + ", started " + startedMs);
         }
         report = List.copyOf(report);
     }
--- a/src/main/java/dunlinhitch/fleet/View.java
+++ b/src/main/java/dunlinhitch/fleet/View.java
@@ -279,7 +279,7 @@
     private void merge(Peer said, long nowUs) {
         if (said.name().equals(self.name())) {
             if (self.status() == Peer.Status.ALIVE && said.incarnation() >= self.incarnation()
-                    && said.status() != Peer.Status.ALIVE) {
+                    && said.incarnation() < Peer.MOST_INCARNATION && said.status() != Peer.Status.ALIVE) {
                 self = self.in(said.incarnation() + 1); // it is not: it says this itself
             }
             return;
--- a/src/test/java/dunlinhitch/peers/PeerSocketTest.java
+++ b/src/test/java/dunlinhitch/peers/PeerSocketTest.java
@@ -38,7 +38,8 @@
         assertEquals(WORD, WordText.read(text.replace("{\"v\":1,", "{\"v\":1,\"mood\":\"good\",")));
         for (String bad : List.of("", "{", "[]", "{}", text.replace("\"v\":1", "\"v\":2"), text.replace("\"ask\"", "\"shout\""),
                 text.replace("7002", "70020"), text.replace("0.25", "1e99"), text.replace("\"failed\":3", "\"failed\":-3"),
-                text.replace("\"name\":\"n2\"", "\"name\":\"\""))) {
+                text.replace("\"name\":\"n2\"", "\"name\":\"\""),
+                text.replace("\"incarnation\":7", "\"incarnation\":9223372036854775807"), text.replace("\"seen\":1796", "\"seen\":-1796"))) {
             assertThrows(RuntimeException.class, () -> WordText.read(bad), bad);
         }
     }
