One reckoning of moved connections serves both fleet measures

Cause: read again, FleetSubsetsMeasure and FleetRigMeasure each had the same method. Change: it stands once, in FleetWorld beside unevenness.

--- a/src/main/java/dunlinhitch/lab/fleet/FleetWorld.java
+++ b/src/main/java/dunlinhitch/lab/fleet/FleetWorld.java
@@ -286,6 +286,18 @@
         return mean == 0 ? 1 : load.values().stream().mapToInt(i -> i).max().orElse(0) / mean;
     }
 
+    /** Connections of the larger fleet that the smaller has not, by the share of one broker of the larger. */
+    public static double moved(Map<String, Set<String>> larger, Map<String, Set<String>> smaller) {
+        long lost = 0;
+        long all = 0;
+        for (Map.Entry<String, Set<String>> broker : larger.entrySet()) {
+            all += broker.getValue().size();
+            Set<String> kept = smaller.getOrDefault(broker.getKey(), Set.of());
+            lost += broker.getValue().stream().filter(store -> !kept.contains(store)).count();
+        }
+        return lost / ((double) all / larger.size());
+    }
+
     /** The most probes of one store within any second, from that time on. */
     public long mostProbesInASecond(long fromUs) {
         long most = 0;
--- a/src/main/java/dunlinhitch/lab/measure/FleetRigMeasure.java
+++ b/src/main/java/dunlinhitch/lab/measure/FleetRigMeasure.java
@@ -51,24 +51,24 @@
                     Links.Harm.LOST, 0, 1);
             List<Rig.Node> without = first.subList(0, BROKERS - 1);
             double out7 = Rig.await("the others go on without n7", WAIT_S, () -> Rig.agree(without));
-            show(out, rig, "one cut off, the other seven", without, out7, moved(before, kept(without)));
+            show(out, rig, "one cut off, the other seven", without, out7, FleetWorld.moved(before, kept(without)));
             TimeUnit.MILLISECONDS.sleep(Math.max(0, CUT_MS - (long) (1000 * out7)));
             rig.links.remove(cut);
             double back = Rig.await("n7 is back", WAIT_S, () -> Rig.agree(first));
-            show(out, rig, "the cut is over", first, back, moved(before, kept(first)));
+            show(out, rig, "the cut is over", first, back, FleetWorld.moved(before, kept(first)));
 
             first.get(1).kill();
             List<Rig.Node> left = new ArrayList<>(first);
             left.remove(1);
             double gone = Rig.await("the others go on without n1", WAIT_S, () -> Rig.agree(left));
-            show(out, rig, "one killed (SIGKILL)", left, gone, moved(before, kept(left)));
+            show(out, rig, "one killed (SIGKILL)", left, gone, FleetWorld.moved(before, kept(left)));
 
             Map<String, Set<String>> seven = kept(left);
             List<Rig.Node> eight = new ArrayList<>(left);
             eight.add(rig.nodes().get(BROKERS));
             rig.start(List.of(rig.nodes().get(BROKERS)));
             double come = Rig.await("the new one is known", WAIT_S, () -> Rig.agree(eight));
-            show(out, rig, "a new one (from its readiness on)", eight, come, moved(kept(eight), seven));
+            show(out, rig, "a new one (from its readiness on)", eight, come, FleetWorld.moved(kept(eight), seven));
 
             Map<RigClients.End, Integer> ends = clients.stop();
             int lost = ends.entrySet().stream().filter(e -> RigClients.isBreach(e.getKey())).mapToInt(Map.Entry::getValue).sum();
@@ -87,18 +87,6 @@
         return kept;
     }
 
-    /** What the smaller fleet lacks of the larger's connections, by one broker's share of those. */
-    private static double moved(Map<String, Set<String>> larger, Map<String, Set<String>> smaller) {
-        long lost = 0;
-        long all = 0;
-        for (Map.Entry<String, Set<String>> e : larger.entrySet()) {
-            all += e.getValue().size();
-            Set<String> has = smaller.getOrDefault(e.getKey(), Set.of());
-            lost += e.getValue().stream().filter(store -> !has.contains(store)).count();
-        }
-        return lost / ((double) all / larger.size());
-    }
-
     private void show(PrintStream out, Rig rig, String what, List<Rig.Node> nodes, double seconds, double moved) {
         double uneven = FleetWorld.unevenness(rig.load(nodes::contains));
         worst = Math.max(worst, Math.max(uneven / MOST_UNEVEN, Math.max(seconds / MOST_S, moved / MOST_MOVED)));
--- a/src/main/java/dunlinhitch/lab/measure/FleetSubsetsMeasure.java
+++ b/src/main/java/dunlinhitch/lab/measure/FleetSubsetsMeasure.java
@@ -92,7 +92,7 @@
         for (int i = brokers - 1; i >= least; i--) {
             there.remove("n" + i);
             Map<String, Set<String>> after = chosen(there, cells, each, seed);
-            double moved = moved(before, after);
+            double moved = FleetWorld.moved(before, after);
             sum += moved;
             most = Math.max(most, moved);
             changes++;
@@ -101,7 +101,7 @@
         for (int i = least; i < brokers; i++) {
             there.add("n" + i);
             Map<String, Set<String>> after = chosen(there, cells, each, seed);
-            double moved = moved(after, before);
+            double moved = FleetWorld.moved(after, before);
             sum += moved;
             most = Math.max(most, moved);
             changes++;
@@ -112,18 +112,6 @@
                 MOST_MOVED);
     }
 
-    /** Connections of the larger fleet that the smaller has not, by the share of one broker of the larger. */
-    private static double moved(Map<String, Set<String>> larger, Map<String, Set<String>> smaller) {
-        long lost = 0;
-        long all = 0;
-        for (Map.Entry<String, Set<String>> broker : larger.entrySet()) {
-            all += broker.getValue().size();
-            Set<String> kept = smaller.getOrDefault(broker.getKey(), Set.of());
-            lost += broker.getValue().stream().filter(store -> !kept.contains(store)).count();
-        }
-        return lost / ((double) all / larger.size());
-    }
-
     /** All brokers want the same cold store probed ten times a second; {@code cut}: a third is cut off for 5 s, one is killed. */
     private void probes(PrintStream out, long seed, int brokers, boolean cut) {
         FleetWorld world = new FleetWorld(seed, brokers, 0.01, FleetSettings.STANDARD);
