Second step and tenants on both wires; attempts are a class of the reducer's own

The module's first answer of a class with FollowUp closes its first step (WIRE, ReplyNow), Reducer.Acts.answer took it for the client's; no part of a second step was ever opened, no list said from or whole, and the store's score was not read. X-Customer was not read either, so every query counted as the first tenant's.

Change: core.SecondStep opens the parts at the highest scores when the decisions close the first step and says what makes their answer; CallText words from and whole for both store wires; a score that is no number ranks last and is counted.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -179,6 +179,10 @@
                 throw new Config.ConfigException("[phases " + p.queryClass()
                         + "]: the class is not safe to repeat, and only such go in two phases");
             }
+            if (kind.followUp() > 0) {
+                throw new Config.ConfigException("[phases " + p.queryClass()
+                        + "]: the class has a second step, which ranks full answers, and so can not go in two phases");
+            }
             all.add(new PhaseSettings(p.queryClass(), p.share(), p.least(), p.trial(), p.audit(), p.margin(), p.closeUs()));
         }
         return all;
--- a/src/main/java/dunlinhitch/config/SettingsReader.java
+++ b/src/main/java/dunlinhitch/config/SettingsReader.java
@@ -65,7 +65,7 @@
         List<Routing.Tenant> tenants = new ArrayList<>();
         for (JsonValue e : array(root, "Orgs")) {
             JsonObject o = e.asObject();
-            tenants.add(new Routing.Tenant(number(o, "QuotaPerS", 0), number(o, "Share", 0)));
+            tenants.add(new Routing.Tenant(string(o, "Name", ""), number(o, "QuotaPerS", 0), number(o, "Share", 0)));
         }
         return tenants;
     }
--- a/src/main/java/dunlinhitch/core/Effect.java
+++ b/src/main/java/dunlinhitch/core/Effect.java
@@ -6,13 +6,21 @@
 
 /** Reading or writing that the {@link Reducer} asks of an edge. */
 public sealed interface Effect {
+    /** What a part of a second step says of the first: the shards that were in, in the order of the query, and whether they made a whole answer. */
+    record FirstStep(List<Integer> in, boolean whole) {
+        public FirstStep {
+            in = List.copyOf(in);
+        }
+    }
+
     /**
      * What a store is sent for one part; {@code dueUs} is when the broker stops waiting for it; {@code first}: it is only
-     * asked whether there is anything.
+     * asked whether there is anything; {@code after}: the first step that it follows, null for a part of that step itself.
      */
-    record PartSend(long attempt, String partId, int shard, String key, long dueUs, String text, boolean first) {
+    record PartSend(long attempt, String partId, int shard, String key, long dueUs, String text, boolean first,
+            FirstStep after) {
         public PartSend(long attempt, String partId, int shard, String key, long dueUs, String text) {
-            this(attempt, partId, shard, key, dueUs, text, false);
+            this(attempt, partId, shard, key, dueUs, text, false, null);
         }
     }
 
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -19,10 +19,18 @@
     record ClientLeft(long exchange) implements Event {
     }
 
-    /** An attempt came to an end at a store or on the way; {@code value} only where it was served. */
-    record AttemptOver(long attempt, Outcome outcome, float[] report, String value) implements Event {
+    /**
+     * An attempt came to an end at a store or on the way; {@code value} and {@code score} only where it was served. The score
+     * ranks the part among those of its query for a second step; NaN where the store gave no number.
+     */
+    record AttemptOver(long attempt, Outcome outcome, float[] report, String value, double score) implements Event {
         private static final float[] NO_REPORT = {};
 
+        /** An end with a value that nothing ranks. */
+        public AttemptOver(long attempt, Outcome outcome, float[] report, String value) {
+            this(attempt, outcome, report, value, Double.NaN);
+        }
+
         /** An end that brings neither report nor value. */
         public static AttemptOver of(long attempt, Outcome outcome) {
             return new AttemptOver(attempt, outcome, NO_REPORT, "");
--- a/src/main/java/dunlinhitch/core/PhaseStage.java
+++ b/src/main/java/dunlinhitch/core/PhaseStage.java
@@ -50,6 +50,8 @@
 
         int classOf(String name);
 
+        int tenantOf(String name);
+
         int newNumber();
 
         /** Tells the decisions, outside of their own actions. */
@@ -229,7 +231,8 @@
         byLeg.put(leg, s);
         double weight = parts.stream().mapToDouble(part -> part.ask.weight()).sum();
         long hint = !first ? parts.stream().mapToLong(part -> part.ask.hintUs()).sum() : 0;
-        host.tell(new Routing.QueryArrived(leg, leg, queryClass, 0, parts.size(), deadlineUs, hint, s.q.ask.repeat()));
+        host.tell(new Routing.QueryArrived(leg, leg, queryClass, host.tenantOf(s.q.ask.tenant()), parts.size(), deadlineUs, hint,
+                s.q.ask.repeat()));
         for (PartRow part : parts) {
             double share = weight > 0 ? part.ask.weight() / weight : 1.0 / parts.size();
             host.tell(new Routing.PartArrived(part.number, leg, part.ask.shard(), share, first ? 0 : part.ask.hintUs()));
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -20,9 +20,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
@@ -33,8 +31,6 @@
  */
 public final class Reducer {
     static final double WEIGHT_SLACK = 0.0001;
-    /** Of both phases the full one leaves first. */
-    private static final boolean[] ONE_AFTER_THE_OTHER = {false, true};
 
     /** What falls due by itself. Rows that are gone by then are passed over. */
     private record Due(long atUs, long order, DueKind kind, long id) {
@@ -67,14 +63,14 @@
      */
     private static final long GIVEN_UP_AFTER_US = 5_000;
     private final List<Owed> owed = new ArrayList<>();
-    private final Map<Integer, List<Effect.PartSend>> calls = new LinkedHashMap<>();
+    private final Attempts attempts = new Attempts(tables, counters, new ForAttempts());
+    private final SecondStep second = new SecondStep(tables, counters, new ForSecondStep());
     private List<Effect> effects = new ArrayList<>();
     private long now;
     /** Since when what this turn takes may have waited unread. */
     private long heardUs;
     private long order;
     private int lastNumber;
-    private long lastAttempt;
     private long lastProbe;
     private Event.DiscoveryNamed discovery;
     private long siblingUs;
@@ -129,7 +125,7 @@
     public Figures figures() {
         List<StoreRow> listed = tables.stores.values().stream().filter(row -> row.state() != ServerState.GONE).toList();
         int skipped = (int) listed.stream()
-                .filter(row -> row.state() != ServerState.READY || isBarred(row)).count();
+                .filter(row -> row.state() != ServerState.READY || tables.isBarred(row)).count();
         return new Figures(tallies.list(), counters.get(Count.ATTEMPTS_WRITTEN), open(), listed.size(), skipped,
                 counters.get(Count.CONFIGURATIONS_TAKEN), counters.get(Count.BAD_CONFIGURATIONS));
     }
@@ -179,7 +175,7 @@
         events.stream().filter(Reducer::aboutStores).forEach(this::take);
         events.stream().filter(event -> !aboutStores(event)).forEach(this::take);
         ringDue();
-        flushCalls();
+        attempts.flush(phases != null);
         long next = owed.stream().mapToLong(Owed::atUs).min().orElse(Long.MAX_VALUE);
         next = Math.min(next, roster.nextUs());
         next = fleet == null ? next : Math.min(next, fleet.nextUs());
@@ -210,13 +206,13 @@
         } else if (event instanceof Event.AttemptOver e) {
             AttemptRow row = tables.attempts.get(e.attempt());
             if (row != null) {
-                tell(end(row, e.outcome(), e.report(), e.value()));
+                tell(attempts.end(row, e.outcome(), e.report(), e.value(), e.score()));
             }
         } else if (event instanceof Event.FirstCame e) {
             AttemptRow row = tables.attempts.get(e.attempt());
             if (row != null && phases != null) {
                 phases.firstCame(row, e);
-                tell(end(row, Outcome.OK, e.report(), null));
+                tell(attempts.end(row, Outcome.OK, e.report(), null, Double.NaN));
             }
         } else if (event instanceof Event.TriesWritten e) {
             counters.add(Count.ATTEMPTS_WRITTEN, e.tries());
@@ -291,6 +287,7 @@
         int queryClass = classOf(e.ask().kind().name());
         QueryAsk ask = e.ask().dueBy(endUs).under(queryClass < 0 ? e.ask().kind() : settings.classes().get(queryClass));
         counters.add(Count.QUERIES_TAKEN);
+        counters.add(Count.TENANTS_UNKNOWN, settings.tenants().isEmpty() || tenantOf(ask.tenant()) >= 0 ? 0 : 1);
         boolean full = queryClass < 0 // dropped since it was read
                 || stopping || fenced() || tables.held() + 1 + ask.parts().size() > settings.limits().mostHeld();
         if (full || ask.deadlineUs() <= now || tables.byId.containsKey(ask.id())) {
@@ -315,7 +312,7 @@
         if (phases != null && phases.opens(q)) {
             return;
         }
-        tell(new Routing.QueryArrived(q.number, q.number, queryClass, 0, q.parts.size(), ask.deadlineUs(),
+        tell(new Routing.QueryArrived(q.number, q.number, queryClass, tenantOf(ask.tenant()), q.parts.size(), ask.deadlineUs(),
                 hintUs, ask.repeat()));
         for (PartRow part : q.parts) {
             tell(new Routing.PartArrived(part.number, q.number, part.ask.shard(), part.ask.weight(),
@@ -333,6 +330,16 @@
         return -1;
     }
 
+    /** The place of the tenant of that name, or -1: the unnamed one. */
+    private int tenantOf(String name) {
+        for (int i = 0; i < settings.tenants().size() && !name.isEmpty(); i++) {
+            if (settings.tenants().get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
     /** All of a new configuration holds from one moment on; what is open keeps the class it was taken under. */
     private void configTaken(Event.ConfigTaken e) {
         counters.add(Count.CONFIGURATIONS_TAKEN);
@@ -393,107 +400,6 @@
         }
     }
 
-    // ---- attempts
-
-    /** Takes an attempt off the tables and words its one end; what it proves is noted with its part. */
-    private Routing.AttemptEnded end(AttemptRow row, Outcome outcome, float[] report, String value) {
-        tables.remove(row);
-        PartRow part = row.part();
-        part.out--;
-        row.store().out--;
-        counters.add(switch (outcome) {
-            case OK -> Count.ATTEMPTS_SERVED;
-            case ERROR -> Count.ATTEMPTS_ERROR;
-            case FULL -> Count.ATTEMPTS_FULL;
-            case TIMEOUT -> Count.ATTEMPTS_TIMED_OUT;
-            case CONNECT_FAILED -> Count.ATTEMPTS_NOT_CONNECTED;
-            case RESET -> Count.ATTEMPTS_RESET;
-            case CANCELLED -> Count.ATTEMPTS_GIVEN_UP;
-            case MOOT -> Count.SENDS_BARRED;
-        });
-        if (outcome.neverRan() && part.mayHaveRunUs == row.sentUs()) {
-            part.mayHaveRunUs = -1;
-        }
-        if (fleet != null) {
-            fleet.saw(row.store(), outcome, report, false);
-        }
-        if (outcome == Outcome.OK && !row.first()) {
-            if (!part.over && part.value == null) {
-                part.value = value;
-            }
-            if (phases != null) {
-                phases.fullCame(row, value);
-            }
-        }
-        return new Routing.AttemptEnded(row.told(), row.number(), outcome, row.store().number, now - row.sentUs(),
-                part.over || outcome == Outcome.OK, report);
-    }
-
-    private Routing.AttemptEnded end(AttemptRow row, Outcome outcome) {
-        return end(row, outcome, new float[0], null);
-    }
-
-    /** Ends the wait for an attempt; one that is still to leave in this turn never does. */
-    private void stopWaiting(AttemptRow row) {
-        List<Effect.PartSend> waiting = calls.get(row.store().number);
-        if (waiting == null || !waiting.removeIf(send -> send.attempt() == row.id())) {
-            effects.add(new Effect.GiveUp(row.store().number, row.id()));
-        }
-    }
-
-    /**
-     * Why a send must not leave, or null. The decisions keep these rules themselves; this holds should they fail to,
-     * for one such send makes the whole day void.
-     */
-    private String barred(PartRow part, StoreRow store) {
-        if (part.over || part.query.ask.deadlineUs() <= now) {
-            return "its query is over";
-        }
-        int most = Math.min(settings.limits().maxAttempts(), part.query.mostAttempts);
-        if (part.before + part.attempts >= (part.first ? most - 1 : most)) { // one is left for the full pass
-            return "it had all its attempts";
-        }
-        if (part.out > 0 && !settings.limits().parallelTries()) {
-            return "another attempt is out";
-        }
-        if (store == null || store.state() == ServerState.GONE || store.state() == ServerState.WITHDRAWN
-                || store.state() == ServerState.DRAINING && now >= store.toldUs + settings.rules().drainGraceUs()) {
-            return "the store takes nothing new";
-        }
-        if (isBarred(store)) {
-            return "the store is out by hand";
-        }
-        if (part.first && store.entry.phases() < 2) {
-            return "the store knows no first pass";
-        }
-        int cells = settings.layout().cells();
-        if (Math.floorMod(store.entry.cell() - part.ask.shard(), cells) >= settings.layout().inARow()) {
-            return "the store does not hold its shard";
-        }
-        if (part.mayHaveRunUs < 0) {
-            return null;
-        }
-        QueryClass kind = kind(part.query);
-        boolean late = kind.repeat() == Repeat.GUARDED && now > part.mayHaveRunUs + kind.dedupWindowUs();
-        return late || kind.repeat() == Repeat.SINGLE_SHOT ? "it may have run" : null;
-    }
-
-    private void flushCalls() {
-        int most = settings.layout().partsPerCall();
-        calls.forEach((store, sends) -> {
-            for (boolean first : ONE_AFTER_THE_OTHER) {
-                List<Effect.PartSend> some = phases == null ? first ? List.of() : sends
-                        : sends.stream().filter(send -> send.first() == first).toList();
-                for (int from = 0; from < some.size(); from += most) {
-                    effects.add(new Effect.SendCall(store, some.subList(from, Math.min(some.size(), from + most))));
-                    counters.add(Count.CALLS_SENT);
-                }
-            }
-            counters.add(Count.ATTEMPTS_SENT, sends.size());
-        });
-        calls.clear();
-    }
-
     // ---- time
 
     private void due(long atUs, DueKind kind, long id) {
@@ -523,8 +429,8 @@
 
     private void attemptDue(AttemptRow row) {
         if (row != null) {
-            stopWaiting(row);
-            oweGivenUp(end(row, Outcome.TIMEOUT));
+            attempts.stopWaiting(row);
+            oweGivenUp(attempts.end(row, Outcome.TIMEOUT));
         }
     }
 
@@ -564,10 +470,6 @@
 
     // ---- stores
 
-    private boolean isBarred(StoreRow row) {
-        return tables.barred.containsKey(row.entry.name());
-    }
-
     private void barAsked(Event.BarAsked e) {
         StoreRow row = tables.byName.get(e.store());
         boolean listed = row != null && row.state() != ServerState.GONE;
@@ -588,9 +490,7 @@
         int number = out ? row == null ? roster.newNumber() : row.number : tables.barred.get(name);
         if (out) {
             tables.barred.put(name, number);
-            List<Effect.PartSend> unsent = calls.remove(number);
-            (unsent == null ? List.<Effect.PartSend>of() : unsent).forEach(
-                    send -> owe(end(tables.attempts.get(send.attempt()), Outcome.MOOT)));
+            attempts.drop(number);
         } else {
             tables.barred.remove(name);
         }
@@ -614,33 +514,7 @@
     private final class Acts implements Routing.Actions {
         @Override
         public void send(int partNumber, int server, long dueUs) {
-            PartRow part = tables.parts.get(partNumber);
-            StoreRow store = tables.stores.get(server);
-            if (part == null) {
-                counters.add(Count.SENDS_BARRED);
-                effects.add(new Effect.Log("barred a send of part " + partNumber + ": it is not open"));
-                owe(new Routing.AttemptEnded(partNumber, 0, Outcome.MOOT, server, 0, true, new float[0]));
-                return;
-            }
-            String why = barred(part, store);
-            int number = part.attempts++;
-            if (why != null) {
-                counters.add(Count.SENDS_BARRED);
-                effects.add(new Effect.Log("barred a send of " + part.id + ": " + why));
-                owe(new Routing.AttemptEnded(partNumber, number, Outcome.MOOT, server, 0, part.over,
-                        new float[0]));
-                return;
-            }
-            AttemptRow row = new AttemptRow(++lastAttempt, part, part.number, number, store, now, part.first);
-            tables.add(row);
-            part.out++;
-            store.out++;
-            part.mayHaveRunUs = part.mayHaveRunUs < 0 ? now : part.mayHaveRunUs;
-            QueryAsk ask = part.query.ask;
-            long until = Math.min(dueUs, ask.deadlineUs());
-            due(until, DueKind.ATTEMPT, row.id());
-            calls.computeIfAbsent(server, s -> new ArrayList<>()).add(
-                    new Effect.PartSend(row.id(), part.id, part.ask.shard(), ask.key(), until, ask.text(), part.first));
+            attempts.send(partNumber, server, dueUs);
         }
 
         @Override
@@ -652,12 +526,17 @@
             }
             List<Answer.PartValue> in = q.in();
             double weight = q.weightIn();
-            if (in.isEmpty() || weight < kind(q).floor() - WEIGHT_SLACK) {
+            boolean last = q.firstStep != null;
+            if (in.isEmpty() || !(last ? SecondStep.enough(q) : weight >= kind(q).floor() - WEIGHT_SLACK)) {
                 counters.add(Count.ANSWERS_BARRED); // less than the class allows is no answer
                 giveUp(q);
                 return;
             }
-            boolean honest = whole && weight >= kind(q).need() - WEIGHT_SLACK;
+            boolean honest = whole && (last ? SecondStep.whole(q) : weight >= kind(q).need() - WEIGHT_SLACK);
+            if (SecondStep.follows(q)) {
+                afterwards.add(() -> second.open(q, honest));
+                return;
+            }
             reply(q, new Answer.Served(honest, in), honest ? Count.ANSWERED_WHOLE : Count.ANSWERED_PARTLY);
         }
 
@@ -668,7 +547,7 @@
                 ended(query, PhaseStage.End.REFUSED, comeBackUs);
                 return;
             }
-            boolean ran = q.parts.stream().anyMatch(part -> part.mayHaveRunUs >= 0);
+            boolean ran = q.all().stream().anyMatch(part -> part.mayHaveRunUs >= 0);
             if (ran && kind(q).repeat() == Repeat.SINGLE_SHOT) {
                 counters.add(Count.ANSWERS_BARRED); // a refusal would say that asking again is harmless
                 giveUp(q);
@@ -697,8 +576,8 @@
         public void cancel(int part, int attempt) {
             AttemptRow row = tables.attempt(part, attempt);
             if (row != null) {
-                stopWaiting(row);
-                oweGivenUp(end(row, Outcome.CANCELLED));
+                attempts.stopWaiting(row);
+                oweGivenUp(attempts.end(row, Outcome.CANCELLED));
             }
         }
 
@@ -710,7 +589,7 @@
         @Override
         public void probe(int server) {
             StoreRow store = tables.stores.get(server);
-            if (store == null || isBarred(store)) {
+            if (store == null || tables.isBarred(store)) {
                 owe(new Routing.ProbeEnded(server, Outcome.MOOT, 0, new float[0]));
                 return;
             }
@@ -735,6 +614,57 @@
         }
     }
 
+    /** What the attempts ask for. */
+    private final class ForAttempts implements Attempts.Host {
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public Settings settings() {
+            return settings;
+        }
+
+        @Override
+        public void effect(Effect effect) {
+            effects.add(effect);
+        }
+
+        @Override
+        public void due(long atUs, long attempt) {
+            Reducer.this.due(atUs, DueKind.ATTEMPT, attempt);
+        }
+
+        @Override
+        public void owe(Routing.Event event) {
+            Reducer.this.owe(event);
+        }
+
+        @Override
+        public void ended(AttemptRow row, Outcome outcome, float[] report, String value) {
+            if (fleet != null) {
+                fleet.saw(row.store(), outcome, report, false);
+            }
+            if (phases != null && outcome == Outcome.OK && !row.first()) {
+                phases.fullCame(row, value);
+            }
+        }
+    }
+
+    /** What the second step asks for. */
+    private final class ForSecondStep implements SecondStep.Host {
+        @Override
+        public int newNumber() {
+            return ++lastNumber;
+        }
+
+        @Override
+        public void tell(Routing.Event event) {
+            Reducer.this.tell(event);
+        }
+    }
+
     /** What the stage for many brokers may do. */
     private final class ForOthers implements StageHost {
         @Override
@@ -784,6 +714,11 @@
             return Reducer.this.classOf(name);
         }
 
+        @Override
+        public int tenantOf(String name) {
+            return Reducer.this.tenantOf(name);
+        }
+
         @Override
         public int newNumber() {
             return ++lastNumber;
@@ -811,8 +746,8 @@
         @Override
         public void endAttempts(PartRow part) {
             for (AttemptRow row : tables.attemptsOf(part)) {
-                stopWaiting(row);
-                Reducer.this.tell(end(row, Outcome.CANCELLED));
+                attempts.stopWaiting(row);
+                Reducer.this.tell(attempts.end(row, Outcome.CANCELLED));
             }
         }
 
--- a/src/main/java/dunlinhitch/core/Tables.java
+++ b/src/main/java/dunlinhitch/core/Tables.java
@@ -25,6 +25,10 @@
     /** Stores that are out by hand, and the number that each keeps meanwhile, listed or not. */
     final Map<String, Integer> barred = new HashMap<>();
 
+    boolean isBarred(StoreRow row) {
+        return barred.containsKey(row.entry.name());
+    }
+
     /** Queries and parts that are held, sent or not. */
     int held() {
         return queries.size() + parts.size();
@@ -53,6 +57,10 @@
         final long exchange;
         final QueryAsk ask;
         final List<PartRow> parts = new ArrayList<>();
+        /** Parts of the second step, once the first is closed; what is in of the first is then no part of the answer. */
+        final List<PartRow> second = new ArrayList<>();
+        /** What the second step follows, null before it begins. */
+        Effect.FirstStep firstStep;
         /** Attempts for each part by the settings that it met. */
         final int mostAttempts;
 
@@ -63,14 +71,29 @@
             this.mostAttempts = mostAttempts;
         }
 
-        /** What is in, whichever way it came. */
+        /** The parts of the present step. */
+        List<PartRow> step() {
+            return firstStep == null ? parts : second;
+        }
+
+        /** All parts that were ever opened for it. */
+        List<PartRow> all() {
+            if (second.isEmpty()) {
+                return parts;
+            }
+            List<PartRow> all = new ArrayList<>(parts);
+            all.addAll(second);
+            return all;
+        }
+
+        /** What is in of the present step, whichever way it came. */
         List<Answer.PartValue> in() {
-            return parts.stream().filter(part -> part.value != null)
+            return step().stream().filter(part -> part.value != null)
                     .map(part -> new Answer.PartValue(part.ask.shard(), part.value)).toList();
         }
 
         double weightIn() {
-            return parts.stream().filter(part -> part.value != null).mapToDouble(part -> part.ask.weight()).sum();
+            return step().stream().filter(part -> part.value != null).mapToDouble(part -> part.ask.weight()).sum();
         }
     }
 
@@ -88,15 +111,20 @@
         int out;
         /** When the first attempt that may have run was sent; below 0: none. */
         long mayHaveRunUs = -1;
-        /** The value once it is in, else null. */
+        /** The value once it is in, else null; what the store said that it ranks by, NaN where that was no number. */
         String value;
+        double score = Double.NaN;
         boolean over;
+        /** Of the second step. */
+        final boolean follows;
 
+        /** A part of the query's present step. */
         PartRow(int number, QueryRow query, QueryAsk.PartAsk ask) {
             this.number = number;
             this.query = query;
             this.ask = ask;
-            id = query.ask.id() + "." + ask.shard();
+            follows = query.firstStep != null;
+            id = query.ask.id() + "." + ask.shard() + (follows ? ".r" : "");
         }
     }
 
@@ -141,7 +169,7 @@
         queries.remove(q.number);
         byExchange.remove(q.exchange);
         byId.remove(q.ask.id());
-        for (PartRow part : q.parts) {
+        for (PartRow part : q.all()) {
             part.over = true;
             parts.remove(part.number);
         }
--- a/src/main/java/dunlinhitch/decide/Routing.java
+++ b/src/main/java/dunlinhitch/decide/Routing.java
@@ -59,8 +59,8 @@
         }
     }
 
-    /** A customer's part of the service: its queries a second over all aggregators, and its fraction. */
-    public record Tenant(double quotaPerS, double share) {
+    /** A customer's part of the service: its name, its queries a second over all aggregators, and its fraction. */
+    public record Tenant(String name, double quotaPerS, double share) {
         public Tenant {
             atLeastZero("tenants.quotaPerS", quotaPerS);
             ratio("tenants.share", share);
--- a/src/main/java/dunlinhitch/dispatch/CallText.java
+++ b/src/main/java/dunlinhitch/dispatch/CallText.java
@@ -1,5 +1,6 @@
 package dunlinhitch.dispatch;
 
+import dunlinhitch.core.Effect.FirstStep;
 import dunlinhitch.core.Effect.PartSend;
 import dunlinhitch.decide.Routing.Outcome;
 import java.io.ByteArrayOutputStream;
@@ -20,7 +21,7 @@
         for (PartSend part : parts) {
             byte[] text = part.text().getBytes(StandardCharsets.UTF_8);
             String list = "d=" + Math.max(1, (part.dueUs() - nowUs) / 1000)
-                    + (part.key().isEmpty() ? "" : ",k=" + part.key());
+                    + (part.key().isEmpty() ? "" : ",k=" + part.key()) + (part.after() == null ? "" : of(part.after()));
             out.writeBytes((part.partId() + " " + part.shard() + " " + list + " " + text.length + "\n")
                     .getBytes(StandardCharsets.UTF_8));
             out.writeBytes(text);
@@ -28,6 +29,21 @@
         return out.toByteArray();
     }
 
+    private static String of(FirstStep after) {
+        return ",from=" + String.join("+", after.in().stream().map(String::valueOf).toList())
+                + ",whole=" + (after.whole() ? 1 : 0);
+    }
+
+    /** What a store ranks a part by, or NaN where the word is no number: such a part ranks last, and is as good as any. */
+    public static double score(String word) {
+        try {
+            double score = Double.parseDouble(word);
+            return Double.isFinite(score) ? score : Double.NaN;
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
     /** How a part ended, or null where the word is none of a store's. */
     public static Outcome end(String word) {
         return switch (word) {
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
@@ -28,7 +28,7 @@
 final class FlightCall implements Runnable {
     static final List<String> COLUMNS = List.of("id", "end", "score", "report", "value");
 
-    private record Row(String id, String end, String report, String value) {
+    private record Row(String id, String end, double score, String report, String value) {
     }
 
     private final FlightStores shared;
@@ -139,7 +139,8 @@
                 byte[] bytes = vector instanceof VarCharVector text ? text.get(i) : null;
                 values.add(bytes == null ? "" : ExactText.of(bytes));
             }
-            rows.add(new Row(values.get(0), values.get(1), values.get(3), values.get(4)));
+            rows.add(new Row(values.get(0), values.get(1), values.get(2) == null ? Double.NaN : CallText.score(values.get(2)),
+                    values.get(3), values.get(4)));
         }
         return rows;
     }
@@ -156,7 +157,8 @@
         Long attempt = open.remove(row.id());
         if (attempt != null) {
             behind.add(row.id());
-            over.accept(new Event.AttemptOver(attempt, outcome, shared.reports().read(row.report() == null ? "" : row.report()), row.value()));
+            over.accept(new Event.AttemptOver(attempt, outcome, shared.reports().read(row.report() == null ? "" : row.report()), row.value(),
+                    row.score()));
         }
     }
 
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
@@ -360,7 +360,7 @@
                 Out ended = answered(reply.id(), false);
                 if (ended != null) {
                     shared.events.accept(new Event.AttemptOver(ended.attempt(), outcome,
-                            shared.reports.read(reply.report()), reply.value()));
+                            shared.reports.read(reply.report()), reply.value(), reply.score()));
                 }
             }
             case 't' -> {
--- a/src/main/java/dunlinhitch/dispatch/frames/Frames.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/Frames.java
@@ -1,5 +1,6 @@
 package dunlinhitch.dispatch.frames;
 
+import dunlinhitch.dispatch.CallText;
 import dunlinhitch.dispatch.ExactText;
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
@@ -16,7 +17,7 @@
     }
 
     /** The answer for one part. */
-    record PartReply(String id, String end, String report, String value) {
+    record PartReply(String id, String end, double score, String report, String value) {
     }
 
     /** Takes frames as they come whole. */
@@ -74,7 +75,7 @@
         if (value == null) {
             throw new MalformedException("a value that is no UTF-8");
         }
-        return new PartReply(words[0], words[1], words[3], value);
+        return new PartReply(words[0], words[1], CallText.score(words[2]), words[3], value);
     }
 
     /** The first answer for one part. */
--- a/src/main/java/dunlinhitch/intake/QueryReader.java
+++ b/src/main/java/dunlinhitch/intake/QueryReader.java
@@ -26,6 +26,7 @@
     public static final String TRACE_ID = "X-Trace-Id";
     public static final String EXPIRES_IN = "X-Expires-In";
     public static final String SECOND_TRY = "X-Second-Try";
+    public static final String CUSTOMER = "X-Customer";
     public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
     /** Ids and keys travel in lines and lists of the stores' frames: no blank, comma, equals sign or line end. */
     private static final Pattern WORD = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
@@ -43,8 +44,11 @@
         return settings.get().classes().stream().filter(kind -> kind.name().equals(name)).findFirst().orElse(null);
     }
 
-    /** {@code header} gives a header's value or null; {@code takenUs} is when the request's last byte was read. */
-    public QueryAsk read(QueryClass kind, UnaryOperator<String> header, String body, long takenUs)
+    /**
+     * {@code header} gives a header's value or null; {@code customers} holds every value of {@link #CUSTOMER} that came;
+     * {@code takenUs} is when the request's last byte was read.
+     */
+    public QueryAsk read(QueryClass kind, UnaryOperator<String> header, Iterable<String> customers, String body, long takenUs)
             throws BadQueryException {
         String id = word(header, TRACE_ID);
         String key = kind.repeat() == Repeat.GUARDED ? word(header, IDEMPOTENCY_KEY) : "";
@@ -62,13 +66,29 @@
             if (text == null) {
                 throw new BadQueryException("predicate is missing");
             }
-            return new QueryAsk(id, key, kind, takenUs + leftUs, "1".equals(header.apply(SECOND_TRY)),
+            return new QueryAsk(id, key, kind, tenant(customers), takenUs + leftUs, "1".equals(header.apply(SECOND_TRY)),
                     parts(o.get("ranges")), text.asString(), "1".equals(header.apply(SHOW_PRUNED)));
         } catch (RuntimeException e) {
             throw new BadQueryException("the body is no query: " + e.getMessage());
         }
     }
 
+    /**
+     * The tenant's name where the settings know it, else empty: what names none of them, or two, has no share of its own and is
+     * served as the unnamed one. To turn it down would take from its client what the rules promise to everybody.
+     */
+    private String tenant(Iterable<String> customers) {
+        String named = "";
+        for (String name : customers) {
+            boolean known = settings.get().tenants().stream().anyMatch(tenant -> tenant.name().equals(name));
+            if (!known || !named.isEmpty() && !named.equals(name)) {
+                return "";
+            }
+            named = name;
+        }
+        return named;
+    }
+
     private List<QueryAsk.PartAsk> parts(JsonValue ranges) throws BadQueryException {
         if (ranges == null || ranges.asArray().isEmpty()) {
             throw new BadQueryException("ranges is missing or empty");
--- a/src/main/java/dunlinhitch/intake/flight/FlightFront.java
+++ b/src/main/java/dunlinhitch/intake/flight/FlightFront.java
@@ -151,8 +151,9 @@
             if (ticket.getBytes().length > QueryReader.MOST_BYTES) {
                 throw new BadQueryException("the ticket is over 64 KiB");
             }
-            return reader.read(kind, headers::get, new String(ticket.getBytes(), StandardCharsets.UTF_8),
-                    takenUs);
+            Iterable<String> customers = headers.getAll(QueryReader.CUSTOMER);
+            return reader.read(kind, headers::get, customers == null ? List.of() : customers,
+                    new String(ticket.getBytes(), StandardCharsets.UTF_8), takenUs);
         }
     }
 
--- a/src/main/java/dunlinhitch/intake/http/HttpFront.java
+++ b/src/main/java/dunlinhitch/intake/http/HttpFront.java
@@ -179,7 +179,8 @@
         long takenUs = clock.getAsLong();
         links.taken(request.connection());
         try {
-            long exchange = exchanges.open(reader.read(kind, request::getHeader, body.toString(), takenUs),
+            long exchange = exchanges.open(reader.read(kind, request::getHeader, request.headers().getAll(QueryReader.CUSTOMER),
+                    body.toString(), takenUs),
                     answer -> write(request, answer));
             request.response().closeHandler(v -> exchanges.left(exchange));
         } catch (BadQueryException e) {
--- a/src/main/java/dunlinhitch/lab/standin/FlightStore.java
+++ b/src/main/java/dunlinhitch/lab/standin/FlightStore.java
@@ -112,7 +112,7 @@
 
     private static void fill(VectorSchemaRoot root, Row row) {
         root.clear();
-        List<String> words = List.of(row.id(), row.end(), "1", row.report());
+        List<String> words = List.of(row.id(), row.end(), row.score(), row.report());
         for (int i = 0; i < words.size(); i++) {
             ((VarCharVector) root.getVector(i)).setSafe(0, words.get(i).getBytes(StandardCharsets.UTF_8));
         }
--- a/src/main/java/dunlinhitch/lab/standin/FrameStore.java
+++ b/src/main/java/dunlinhitch/lab/standin/FrameStore.java
@@ -71,7 +71,7 @@
                     return;
                 }
                 Row row = row(part, how);
-                Buffer frame = frame('q', Buffer.buffer(row.id() + " " + row.end() + " 1 " + row.report() + "\n")
+                Buffer frame = frame('q', Buffer.buffer(row.id() + " " + row.end() + " " + row.score() + " " + row.report() + "\n")
                         .appendBytes(row.value()));
                 int copies = how == Do.NOTHING ? 0 : how == Do.TWICE ? 2 : 1;
                 work(part, false, () -> write(socket, frame, copies));
--- a/src/main/java/dunlinhitch/lab/standin/Stage.java
+++ b/src/main/java/dunlinhitch/lab/standin/Stage.java
@@ -66,6 +66,17 @@
                 List.of(ReportField.RECENT_MS, ReportField.BACKLOG), false);
     }
 
+    /** The same with a class {@code report} of two steps, the second of two parts, whose answer wants all of both; and with two tenants. */
+    public static Routing.Settings twoSteps(int held) {
+        Routing.Settings one = settings(held);
+        List<Routing.QueryClass> classes = new java.util.ArrayList<>(one.classes());
+        classes.add(new Routing.QueryClass("report", 700_000, 0, 1_100_000, Repeat.FREE, 0.1, 0, 3, false, 2, 1, 1, 0.9));
+        return new Routing.Settings(one.aggregators(), one.zones(), one.zone(), one.tickUs(), classes,
+                List.of(new Routing.Tenant("north", 10, 0.6), new Routing.Tenant("south", 5, 0.4)), one.overShareWorth(),
+                one.layout(), one.limits(), one.rules(), one.prices(), one.mustAskForList(), one.reportsInAnswers(),
+                one.reportsInProbes(), one.reportFields(), one.marksRepeats());
+    }
+
     /** Starts the broker on ports of its own and waits until it is ready. */
     public void start(Routing.Settings settings, Product.DnsService dns) throws Exception {
         Address any = new Address("127.0.0.1", 0);
--- a/src/main/java/dunlinhitch/lab/standin/Store.java
+++ b/src/main/java/dunlinhitch/lab/standin/Store.java
@@ -22,7 +22,7 @@
     public enum Do { GOOD, BAD, LATER, NOTHING, CUT, NO_TEXT, NO_PART, NO_END, NO_REPORT, TWICE }
 
     /** An answer as it is to be written. */
-    protected record Row(String id, String end, String report, byte[] value) {
+    protected record Row(String id, String end, String score, String report, byte[] value) {
     }
 
     protected Row row(Seen part, Do how) {
@@ -32,7 +32,7 @@
             value[value.length - 1] = (byte) 0xc3;
         }
         return new Row(how == Do.NO_PART ? "x" + part.id() : part.id(),
-                fails ? how.name().toLowerCase(Locale.ROOT) : how == Do.NO_END ? "fine" : "good",
+                fails ? how.name().toLowerCase(Locale.ROOT) : how == Do.NO_END ? "fine" : "good", score.apply(part),
                 how == Do.NO_REPORT ? "latency_ms==;\u0007 queue" : "latency_ms=5,queue=0", value);
     }
 
@@ -58,6 +58,8 @@
     /** When the last part came, by System.nanoTime; 0: none did. */
     public volatile long lastSeenNanos;
     public volatile Function<Seen, Do> script = part -> Do.GOOD;
+    /** What a part is ranked by: one word. */
+    public volatile Function<Seen, String> score = part -> "1";
 
     protected Store(String name) {
         this.name = name;
@@ -69,8 +71,9 @@
 
     public abstract void close() throws Exception;
 
+    /** Of a second step's part another than of the first's. */
     public String value(Seen part) {
-        return name + "/" + part.shard() + "/" + part.text();
+        return name + "/" + part.shard() + "/" + part.text() + (part.id().endsWith(".r") ? "/again" : "");
     }
 
     protected Do take(Seen part) {
--- a/src/test/java/dunlinhitch/RulesOnBothPathsTest.java
+++ b/src/test/java/dunlinhitch/RulesOnBothPathsTest.java
@@ -50,7 +50,7 @@
         one = path.store(stage, 0);
         two = path.store(stage, 1);
         stage.list(one, two);
-        stage.start(Stage.settings(held), null);
+        stage.start(Stage.twoSteps(held), null);
         client = path.client(stage);
         assertNotNull(stage.discovery.asked.poll(5, TimeUnit.SECONDS));
     }
@@ -266,6 +266,71 @@
         return client.ask(queryClass, Map.of("X-Trace-Id", "q" + ++asked), body);
     }
 
+    private List<Seen> secondParts() {
+        return java.util.stream.Stream.concat(one.seen.stream(), two.seen.stream()).filter(p -> p.id().endsWith(".r")).toList();
+    }
+
+    /** The two highest scores of four; one that is no number ranks last. The answer is the second step's. */
+    @ParameterizedTest
+    @EnumSource(Path.class)
+    void aSecondStepAsksTheBestOfTheFirstAndIsTheAnswer(Path path) throws Exception {
+        begin(path, 300);
+        one.score = part -> part.shard() == 3 ? "much" : "" + 1840277000L * (1 + part.shard());
+        two.score = one.score;
+        Got got = wait(ask("report", 0, 1, 2, 3));
+        assertEquals("whole", got.end());
+        assertEquals(java.util.Set.of(1, 2), got.parts().keySet());
+        got.parts().forEach((shard, value) -> assertTrue(value.matches("s-[01]/" + shard + "/tenors é/again"), value));
+        assertEquals(2, secondParts().size());
+        for (Seen part : secondParts()) {
+            assertEquals("q1." + part.shard() + ".r", part.id());
+            assertTrue(part.list().matches("d=[0-9]+,from=0\\+1\\+2\\+3,whole=1"), part.list());
+        }
+        assertEquals(1, stage.count("second_steps"));
+        assertEquals(1, stage.count("bad_scores"));
+    }
+
+    /** In a class that wants all parts a second step that lacks one is no answer, and its parts keep the rule on attempts. */
+    @ParameterizedTest
+    @EnumSource(Path.class)
+    void aSecondStepThatLacksAPartIsNoAnswer(Path path) throws Exception {
+        begin(path, 300);
+        script(part -> part.id().equals("q1.0.r") ? Do.BAD : Do.GOOD);
+        Got got = wait(ask("report", 0, 1));
+        assertTrue(List.of("refused", "late", "failed").contains(got.end()), got.toString());
+        long tries = secondParts().stream().filter(p -> p.id().equals("q1.0.r")).count();
+        assertTrue(tries >= 2 && tries <= 4, "tried again, and no more often than the settings allow: " + tries);
+        AtomicInteger turnedAway = new AtomicInteger();
+        script(part -> part.id().equals("q2.0.r") && turnedAway.getAndIncrement() == 0 ? Do.LATER : Do.GOOD);
+        assertEquals("whole", wait(ask("report", 0, 1)).end(), "what is turned away is asked elsewhere");
+        assertEquals(2, turnedAway.get());
+    }
+
+    @ParameterizedTest
+    @EnumSource(Path.class)
+    void aFirstStepThatLacksAPartIsNeverFollowed(Path path) throws Exception {
+        begin(path, 300);
+        script(part -> part.shard() == 3 ? Do.NOTHING : Do.GOOD);
+        Got got = wait(ask("report", 0, 1, 2, 3));
+        assertTrue(List.of("refused", "late").contains(got.end()), got.toString());
+        assertEquals(List.of(), secondParts());
+    }
+
+    /** A tenant is known by its name; what names none, another or two is served as the unnamed one, and counted. */
+    @ParameterizedTest
+    @EnumSource(Path.class)
+    void whoAsksIsKnownByNameAndElseServedAsUnnamed(Path path) throws Exception {
+        begin(path, 300);
+        for (String customer : List.of("north", "south", "", "nobody", "N".repeat(4000), "north,south")) {
+            Map<String, String> headers = new java.util.HashMap<>(Map.of("X-Trace-Id", "t" + ++asked, "X-Expires-In", "1.100"));
+            if (!customer.isEmpty()) {
+                headers.put("X-Customer", customer);
+            }
+            assertEquals("whole", wait(client.ask("free-search", headers, Client.body(0, 1))).end(), customer);
+        }
+        assertEquals(4, stage.count("tenants_unknown"));
+    }
+
     @ParameterizedTest
     @EnumSource(Path.class)
     void whatWasTakenBeforeTheEndIsAnswered(Path path) throws Exception {
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -125,6 +125,66 @@
         assertEquals(1, reducer.counters().get(Count.ATTEMPTS_SERVED));
     }
 
+    private final Reducer twoSteps = new Reducer(Stage.twoSteps(40), 7, now);
+
+    private List<Effect.PartSend> partsOf(List<Effect> turn) {
+        return turn.stream().filter(SendCall.class::isInstance).map(SendCall.class::cast).flatMap(c -> c.parts().stream()).toList();
+    }
+
+    private List<Effect> twoStepsTurn(Event... events) {
+        now += 5_000;
+        List<Effect> out = twoSteps.turn(now, List.of(events));
+        effects.addAll(out);
+        return out;
+    }
+
+    private List<Effect.PartSend> opened() {
+        twoStepsTurn(new Event.RosterNews(ListKind.FULL,
+                List.of(store("a", 0, ServerState.READY), store("b", 1, ServerState.READY))));
+        QueryAsk ask = new QueryAsk("q1", "", twoSteps.settings().classes().get(2), now + 900_000, false,
+                List.of(new PartAsk(4, 0.5, 0), new PartAsk(5, 0.25, 0), new PartAsk(6, 0.25, 0)), "x");
+        return partsOf(twoStepsTurn(new Event.QueryTaken(1, ask)));
+    }
+
+    private List<Effect.PartSend> closeFirstStep(List<Effect.PartSend> first) {
+        List<Effect.PartSend> second = List.of();
+        for (Effect.PartSend p : first) {
+            second = partsOf(twoStepsTurn(new Event.AttemptOver(p.attempt(), Outcome.OK, new float[0], "v" + p.shard(), p.shard())));
+        }
+        return second;
+    }
+
+    /** A cohort-report was answered from none of its parts: the decisions' first answer is the end of the first step, not the client's. */
+    @Test
+    void anAnswerOfAClassWithASecondStepClosesTheFirstOnly() {
+        List<Effect.PartSend> second = closeFirstStep(opened());
+        assertEquals(null, answer(1));
+        assertEquals(Set.of("q1.5.r", "q1.6.r"), second.stream().map(Effect.PartSend::partId).collect(java.util.stream.Collectors.toSet()));
+        second.forEach(p -> assertEquals(new Effect.FirstStep(List.of(4, 5, 6), true), p.after()));
+        twoStepsTurn(new Event.AttemptOver(second.get(0).attempt(), Outcome.OK, new float[0], "r0"));
+        assertEquals(null, answer(1), "one of two parts is no answer");
+        twoStepsTurn(new Event.AttemptOver(second.get(1).attempt(), Outcome.OK, new float[0], "r1"));
+        Answer.Served served = (Answer.Served) answer(1);
+        assertTrue(served.whole());
+        assertEquals(Set.of(5, 6), served.parts().stream().map(Answer.PartValue::shard).collect(java.util.stream.Collectors.toSet()));
+        assertEquals(0, twoSteps.open());
+    }
+
+    /** A client that leaves within the second step ends what is out for it; nothing of the query stays behind. */
+    @Test
+    void aClientThatLeavesInTheSecondStepLeavesNothingBehind() {
+        List<Effect.PartSend> second = closeFirstStep(opened());
+        effects.clear();
+        twoStepsTurn(new Event.ClientLeft(1));
+        assertEquals(second.stream().map(Effect.PartSend::attempt).collect(java.util.stream.Collectors.toSet()),
+                of(Effect.GiveUp.class).stream().map(Effect.GiveUp::attempt).collect(java.util.stream.Collectors.toSet()));
+        for (int i = 0; i < 300; i++) {
+            twoStepsTurn();
+        }
+        assertEquals(0, twoSteps.open());
+        assertEquals(null, answer(1));
+    }
+
     @Test
     void aSilentQueryIsAnsweredInTimeAndItsAttemptsAreGivenUp() {
         stores();
--- a/src/test/java/dunlinhitch/decide/PolicyTest.java
+++ b/src/test/java/dunlinhitch/decide/PolicyTest.java
@@ -539,7 +539,7 @@
     @Test
     void atTheLimitATenantBeyondItsShareIsRefusedFirst() {
         Sites site = new Sites();
-        site.tenants = List.of(new Routing.Tenant(5, 0.5), new Routing.Tenant(5, 0.5));
+        site.tenants = List.of(new Routing.Tenant("one", 5, 0.5), new Routing.Tenant("two", 5, 0.5));
         Script s = pair(site);
         int[] let = new int[2];
         for (int i = 1; i <= 600; i++) {
--- a/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
@@ -106,6 +106,23 @@
         assertEquals(0, stage.count("queries_taken"));
     }
 
+    /** A tenant that is named twice is one where both are the same, else none; a name as long as a body is no request. */
+    @Test
+    void aTenantNamedTwiceIsNobodyUnlessBothAreTheSame() throws Exception {
+        end();
+        stage = new Stage();
+        stage.discovery.list();
+        stage.start(Stage.twoSteps(300), null);
+        String twice = "X-Trace-Id: a%d\r\nX-Expires-In: 0.050\r\nX-Customer: north\r\nX-Customer: %s\r\nContent-Length: " + Client.body(1).length()
+                + "\r\n";
+        status(post("/free-search", twice.formatted(1, "north"), Client.body(1)));
+        assertEquals(0, stage.count("tenants_unknown"));
+        status(post("/free-search", twice.formatted(2, "south"), Client.body(1)));
+        assertEquals(1, stage.count("tenants_unknown"));
+        assertEquals(431, status("POST /free-search HTTP/1.1\r\nHost: x\r\nX-Customer: " + "n".repeat(60_000) + "\r\n\r\n"));
+        assertEquals(2, stage.count("queries_taken"));
+    }
+
     /** Silence, a head or a body that never ends: the connection does, within 3 s. */
     @Test
     void whatNeverEndsIsClosedInTime() throws IOException {
