A reset by a client is a count, not a line of the log

By Vert.x's source as known, a connection without an exception handler of its own logs each exception as an error; of all connections that the program makes or takes, the clients' (HttpFront), the operators' (AdminFront) and the watch's had none. An IOException on a client's connection is clients_reset, anything else is a fault.

--- a/src/main/java/dunlinhitch/admin/AdminFront.java
+++ b/src/main/java/dunlinhitch/admin/AdminFront.java
@@ -66,6 +66,7 @@
             closeOldest();
         }
         callers.put(connection, clock.getAsLong());
+        connection.exceptionHandler(e -> { }); // the close that follows says all there is to say
         connection.closeHandler(v -> callers.remove(connection));
     }
 
--- a/src/main/java/dunlinhitch/intake/http/HttpFront.java
+++ b/src/main/java/dunlinhitch/intake/http/HttpFront.java
@@ -20,6 +20,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.io.IOException;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -67,6 +68,8 @@
         server = vertx.createHttpServer(options);
         server.connectionHandler(c -> {
             StrictDecoder.install(c, options);
+            // without a handler Vert.x writes each reset to the log as an error
+            c.exceptionHandler(e -> events.accept(new Event.Noted(e instanceof IOException ? Count.CLIENTS_RESET : Count.FAULTS)));
             links.made(c);
         });
         server.invalidRequestHandler(request -> {
--- a/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
@@ -13,8 +13,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -123,6 +127,48 @@
         assertTrue(System.nanoTime() - from < 3_000_000_000L);
     }
 
+    /**
+     * Seen on a day with a lost zone: 84 lines "SEVERE: Connection reset" a broker. A client that resets its connection is
+     * expected: one count, no line.
+     */
+    @Test
+    void aResetOfAClientIsCountedAndNotLogged() throws Exception {
+        List<String> lines = new CopyOnWriteArrayList<>();
+        Handler listening = new Handler() {
+            @Override
+            public void publish(LogRecord line) {
+                if (String.valueOf(line.getMessage()).contains("reset")) {
+                    lines.add(line.getLoggerName() + ": " + line.getMessage());
+                }
+            }
+
+            @Override
+            public void flush() {
+                // nothing is kept back
+            }
+
+            @Override
+            public void close() {
+                // nothing is held
+            }
+        };
+        Logger.getLogger("").addHandler(listening);
+        try {
+            Socket socket = new Socket("127.0.0.1", stage.httpPort);
+            socket.getOutputStream().write("GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+            assertTrue(socket.getInputStream().read() >= 0);
+            socket.setSoLinger(true, 0); // with the rest unread and no linger, its close is a reset
+            socket.close();
+            while (stage.count("clients_reset") < 1 && lines.isEmpty()) {
+                Thread.onSpinWait();
+            }
+            assertEquals(List.of(), lines);
+            assertEquals(0, stage.count("faults"));
+        } finally {
+            Logger.getLogger("").removeHandler(listening);
+        }
+    }
+
     /** Those who say nothing make room for those who ask. */
     @Test
     void aCrowdThatSaysNothingLeavesRoomForAQuery() throws IOException {
