--- a/src/main/java/dunlinhitch/intake/http/Links.java
+++ b/src/main/java/dunlinhitch/intake/http/Links.java
@@ -2,6 +2,7 @@
 
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Event;
+import dunlinhitch.intake.leaving.Leaving;
 import io.vertx.core.http.HttpConnection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,11 +38,14 @@
 
     /** In the order in which they were made. */
     private final Map<HttpConnection, Link> links = new LinkedHashMap<>();
+    private final Leaving<HttpConnection> leaving;
     private final IntSupplier most;
     private final LongSupplier clock;
     private final Consumer<Event> events;
 
-    Links(IntSupplier most, LongSupplier clock, Consumer<Event> events) {
+    /** What becomes of each connection is told to {@code leaving} as well. */
+    Links(Leaving<HttpConnection> leaving, IntSupplier most, LongSupplier clock, Consumer<Event> events) {
+        this.leaving = leaving;
         this.most = most;
         this.clock = clock;
         this.events = events;
@@ -57,7 +61,8 @@
             }
         }
         links.put(connection, new Link(clock.getAsLong()));
-        connection.closeHandler(v -> links.remove(connection));
+        leaving.made(clock.getAsLong(), connection);
+        connection.closeHandler(v -> gone(connection));
     }
 
     /** Whom the loss of its connection costs least: one that never said a thing, else the one idle for longest. */
@@ -79,22 +84,30 @@
 
     private void close(HttpConnection connection, Count why) {
         events.accept(new Event.Noted(why));
-        links.remove(connection);
+        gone(connection);
         connection.close();
     }
 
+    private void gone(HttpConnection connection) {
+        links.remove(connection);
+        leaving.gone(clock.getAsLong(), connection);
+    }
+
     /** The head of a request was read. */
     void asked(HttpConnection connection) {
         to(connection, Stage.READING);
+        leaving.asked(connection);
     }
 
     /** The request was read whole. */
     void taken(HttpConnection connection) {
         to(connection, Stage.OPEN);
+        leaving.taken(connection);
     }
 
     void answered(HttpConnection connection) {
         to(connection, Stage.IDLE);
+        leaving.answered(clock.getAsLong(), connection);
     }
 
     private void to(HttpConnection connection, Stage stage) {
@@ -123,10 +136,4 @@
             }
         }
     }
-
-    void closeIdle() {
-        List.copyOf(links.entrySet()).stream()
-                .filter(entry -> entry.getValue().stage == Stage.SILENT || entry.getValue().stage == Stage.IDLE)
-                .forEach(entry -> entry.getKey().close());
-    }
 }
