--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -220,6 +220,10 @@
             probeOver(e.probe(), e.outcome(), e.report());
         } else if (event instanceof Event.RosterNews e) {
             roster.news(now, heardUs, e);
+        } else if (event instanceof Event.RosterSilent e) {
+            roster.discoverySilent(e.sinceUs());
+        } else if (event instanceof Event.RosterHeard) {
+            roster.discoveryHeard();
         } else if (event instanceof Event.SourceNamed e) {
             roster.named(e);
         } else if (event instanceof Event.SourceSaid e) {
@@ -241,6 +245,8 @@
             due(siblingUs, DueKind.ALONE, siblingUs);
         } else if (event instanceof Event.EndNamed e) {
             endUs = e.dueUs();
+            // what was taken before and may last longer has its answer by then too
+            tables.queries.values().stream().filter(q -> q.ask.deadlineUs() > endUs).forEach(q -> due(endUs, DueKind.QUERY, q.number));
         } else if (event instanceof Event.StopAsked) {
             stopping = true;
             if (fleet != null) {
