--- a/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
@@ -117,7 +117,7 @@
         stage = new Stage();
         stage.discovery.list();
         stage.start(Stage.twoSteps(300), null);
-        String twice = "X-Trace-Id: a%d\r\nX-Expires-In: 0.050\r\nX-Customer: north\r\nX-Customer: %s\r\nContent-Length: " + Client.body(1).length()
+        String twice = "X-Trace-Id: a%d\r\nX-Expires-In: 0.050\r\nX-Customer: north\r\nX-Customer: %s\r\nContent-Length: " + Client.body(1).getBytes(StandardCharsets.UTF_8).length
                 + "\r\n";
         status(post("/free-search", twice.formatted(1, "north"), Client.body(1)));
         assertEquals(0, stage.count("tenants_unknown"));
