A rehearsal's resets are no lines in the log

They come from Rehearsal's own sockets, which had no exception handler. Each has one now; measured gain: not yet.

--- a/src/main/java/dunlinhitch/Rehearsal.java
+++ b/src/main/java/dunlinhitch/Rehearsal.java
@@ -75,7 +75,10 @@
     Future<Integer> run() {
         NetServer peers = vertx.createNetServer();
         NetClient clients = vertx.createNetClient();
-        return peers.connectHandler(socket -> socket.handler(new Peer(socket, peers)::read)).listen(0, host)
+        return peers.connectHandler(socket -> {
+            expected(socket);
+            socket.handler(new Peer(socket, peers)::read);
+        }).listen(0, host)
                 .compose(bound -> {
                     Address any = new Address(host, 0);
                     Broker broker = new Broker(vertx, context, new Config("rehearsal", any, null,
@@ -95,6 +98,7 @@
     private Future<Void> ask(NetClient clients, int port) {
         return clients.connect(port, host).compose(socket -> {
             int[] answers = {0};
+            expected(socket);
             Promise<Void> closed = Promise.promise();
             socket.closeHandler(v -> closed.tryComplete());
             socket.handler(answer -> {
@@ -110,6 +114,14 @@
         });
     }
 
+    /**
+     * All connections end when the rehearsal does, many by a reset. Without a handler Vert.x writes each as an error to the log, and the
+     * first line loads what words lines: processor time that a broker is short of just then.
+     */
+    private static void expected(NetSocket socket) {
+        socket.exceptionHandler(e -> { });
+    }
+
     /** What is refused does not count: uncompiled, a broker on part of a core is too late for most of the first. */
     private boolean mayAsk() {
         return served < toServe && clock.getAsLong() < dueUs;
