--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -21,7 +21,6 @@
 import dunlinhitch.intake.flight.FlightFront;
 import dunlinhitch.intake.http.ClientListener;
 import dunlinhitch.intake.http.HttpFront;
-import dunlinhitch.intake.leaving.LeavingTimes;
 import dunlinhitch.decide.Routing;
 import dunlinhitch.membership.MembershipSettings;
 import dunlinhitch.phases.PhaseSettings;
@@ -39,6 +38,16 @@
 
 /** One real broker: the fronts, the reducer, the ways to the stores and the watch, on one event loop. */
 public final class Broker {
+    /**
+     * PROTOCOL: after being asked to end, the process is left alone for this and the longest deadline (for 3 s where
+     * that is longer), and connections that stay open stay in use.
+     */
+    private static final long GRACE_US = 700_000;
+    private static final long LONGEST_US = 3_000_000;
+    /** The last answer is written so long before that. */
+    private static final long ROOM_US = 250_000;
+    /** What crosses the closing of its connection comes so soon, if the listener is still there. */
+    private static final long CROSSING_US = 150_000;
     /** A list from before the start will do if discovery says nothing for so long. */
     private static final long KNOWN_WILL_DO_US = 1_000_000;
     /** Where the ids of stores that are out by hand are kept, in the shared folder. */
@@ -235,21 +244,24 @@
     /**
      * Ends the broker. Until half of the longest deadline before its time it serves all who are connected as ever: the
      * others may be restarting too, and the next process is started no sooner if this one leaves early. Then each
-     * connection ends (where a sibling accepts from the same socket, by each answer from the start), and it is over when
-     * all that was taken is answered.
+     * answer closes its connection (where a sibling accepts from the same socket, from the start), and it is over when all that was taken is answered.
      */
     public Future<Void> stop() {
         ending = true;
         if (records != null) {
             records.ending();
         }
-        LeavingTimes times = LeavingTimes.of(clock.getAsLong(), reducer.settings().classes().stream()
+        long now = clock.getAsLong();
+        long longestUs = Math.min(LONGEST_US, reducer.settings().classes().stream()
                 .mapToLong(kind -> kind.deadlineUs()).max().orElseThrow());
-        loop.accept(new Event.EndNamed(times.endUs()));
+        loop.accept(new Event.EndNamed(now + GRACE_US + longestUs - ROOM_US));
         if (shared) {
             loop.accept(new Event.SiblingServes(Long.MAX_VALUE));
+            http.leaveToSibling();
         }
-        http.leave(times, shared, () -> loop.accept(new Event.StopAsked()));
+        long drainUs = now + GRACE_US + longestUs / 2;
+        vertx.setTimer(MicroClock.timerMs(now, drainUs), t -> http.drain());
+        vertx.setTimer(MicroClock.timerMs(now, drainUs + CROSSING_US), t -> loop.accept(new Event.StopAsked()));
         return ended.future();
     }
 
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -245,8 +245,6 @@
             due(siblingUs, DueKind.ALONE, siblingUs);
         } else if (event instanceof Event.EndNamed e) {
             endUs = e.dueUs();
-            // what was taken before and may last longer has its answer by then too
-            tables.queries.values().stream().filter(q -> q.ask.deadlineUs() > endUs).forEach(q -> due(endUs, DueKind.QUERY, q.number));
         } else if (event instanceof Event.StopAsked) {
             stopping = true;
             if (fleet != null) {
--- a/src/main/java/dunlinhitch/intake/http/HttpFront.java
+++ b/src/main/java/dunlinhitch/intake/http/HttpFront.java
@@ -5,14 +5,11 @@
 import dunlinhitch.core.Answer;
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Event;
-import dunlinhitch.core.MicroClock;
 import dunlinhitch.decide.Routing.QueryClass;
 import dunlinhitch.intake.BadQueryException;
 import dunlinhitch.intake.Exchanges;
 import dunlinhitch.intake.Front;
 import dunlinhitch.intake.QueryReader;
-import dunlinhitch.intake.leaving.Leaving;
-import dunlinhitch.intake.leaving.LeavingTimes;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -36,7 +33,6 @@
 public final class HttpFront implements Front {
     private static final int CLOSE_S = 5;
     private static final long LOOK_AFTER_MS = 200;
-    private static final long END_LOOK_US = 20_000;
     private final Vertx vertx;
     private final Exchanges exchanges;
     private final QueryReader reader;
@@ -50,9 +46,7 @@
     private final ClientListener listener;
     private final int mostOpen;
     private long lookAfter;
-    private final Leaving<HttpConnection> leaving = new Leaving<>(new Ends());
-    private Runnable stopped = () -> { };
-    private long endTimer = -1;
+    private boolean draining;
 
     /** {@code mostLinks}: connections that clients may hold at once. */
     public HttpFront(Vertx vertx, Exchanges exchanges, QueryReader reader, Consumer<Event> events,
@@ -67,7 +61,7 @@
         this.stats = stats;
         this.listener = listener;
         this.mostOpen = mostOpen;
-        links = new Links(leaving, mostLinks, clock, events);
+        links = new Links(mostLinks, clock, events);
         HttpServerOptions options = new HttpServerOptions().setHttp2ClearTextEnabled(false).setAcceptBacklog(1024)
                 .setHandle100ContinueAutomatically(true).setPerFrameWebSocketCompressionSupported(false)
                 .setPerMessageWebSocketCompressionSupported(false);
@@ -94,47 +88,27 @@
     }
 
     /**
-     * The process is to end: what becomes of the connections, and when, is {@link Leaving}'s. With a {@code sibling} that
-     * accepts from the same socket, what is new is left to that one from now on. {@code whenStopped}: nothing is under way
-     * any more, or the time is over; until then the listener is there.
+     * The process is to end and another one accepts from the same socket: what is new is left to that one from now on,
+     * and each connection ends by its next answer. Those that stand idle may still be asked on; {@link #drain} ends them.
      */
-    public void leave(LeavingTimes times, boolean sibling, Runnable whenStopped) {
-        stopped = whenStopped;
-        if (sibling) {
-            listener.stopAccepting();
-        }
-        leaving.end(clock.getAsLong(), times, sibling);
-        watchEnd();
+    public void leaveToSibling() {
+        draining = true;
+        listener.stopAccepting();
     }
 
-    private void watchEnd() {
-        if (leaving.nextUs() < Long.MAX_VALUE) {
-            long now = clock.getAsLong();
-            // while connections end the next moment may come nearer with each answer
-            long next = leaving.stage() == Leaving.Stage.CLOSING ? Math.min(leaving.nextUs(), now + END_LOOK_US) : leaving.nextUs();
-            endTimer = vertx.setTimer(MicroClock.timerMs(now, next), t -> {
-                leaving.passed(clock.getAsLong());
-                watchEnd();
-            });
-        }
-    }
-
-    private final class Ends implements Leaving.Acts<HttpConnection> {
-        @Override
-        public void close(HttpConnection connection) {
-            connection.close();
-        }
-
-        @Override
-        public void stop() {
-            stopped.run();
-        }
+    /**
+     * The process is to end: new connections are still taken, but each lasts for one answer, and those that stand
+     * idle are closed now. A client whose request crosses that comes again while the broker still listens; were they
+     * closed only with the listener, it could not.
+     */
+    public void drain() {
+        draining = true;
+        links.closeIdle();
     }
 
     @Override
     public Future<Void> close() {
         vertx.cancelTimer(lookAfter);
-        vertx.cancelTimer(endTimer);
         return server.shutdown(CLOSE_S, TimeUnit.SECONDS);
     }
 
@@ -142,7 +116,7 @@
         links.asked(request.connection());
         String path = request.path() == null ? "" : request.path();
         switch (path) {
-            case "/health/ready" -> page(request, ready.getAsBoolean() ? 200 : 503, "ready\n");
+            case "/health/ready" -> page(request, ready.getAsBoolean() && !draining ? 200 : 503, "ready\n");
             case "/health/live" -> page(request, 200, "live\n");
             case "/stats" -> page(request, 200, stats.get());
             default -> {
@@ -246,12 +220,12 @@
             return;
         }
         response.setStatusCode(status).putHeader(HttpHeaders.CONTENT_TYPE, type);
-        if (last || leaving.isLast()) {
+        if (last || draining) {
             response.putHeader(HttpHeaders.CONNECTION, "close");
         }
         response.end(body).onComplete(done -> {
             links.answered(connection);
-            if (last) {
+            if (last || draining) {
                 connection.close();
             }
         });
--- a/src/main/java/dunlinhitch/intake/http/Links.java
+++ b/src/main/java/dunlinhitch/intake/http/Links.java
@@ -2,7 +2,6 @@
 
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Event;
-import dunlinhitch.intake.leaving.Leaving;
 import io.vertx.core.http.HttpConnection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,14 +37,11 @@
 
     /** In the order in which they were made. */
     private final Map<HttpConnection, Link> links = new LinkedHashMap<>();
-    private final Leaving<HttpConnection> leaving;
     private final IntSupplier most;
     private final LongSupplier clock;
     private final Consumer<Event> events;
 
-    /** What becomes of each connection is told to {@code leaving} as well. */
-    Links(Leaving<HttpConnection> leaving, IntSupplier most, LongSupplier clock, Consumer<Event> events) {
-        this.leaving = leaving;
+    Links(IntSupplier most, LongSupplier clock, Consumer<Event> events) {
         this.most = most;
         this.clock = clock;
         this.events = events;
@@ -61,8 +57,7 @@
             }
         }
         links.put(connection, new Link(clock.getAsLong()));
-        leaving.made(clock.getAsLong(), connection);
-        connection.closeHandler(v -> gone(connection));
+        connection.closeHandler(v -> links.remove(connection));
     }
 
     /** Whom the loss of its connection costs least: one that never said a thing, else the one idle for longest. */
@@ -84,30 +79,22 @@
 
     private void close(HttpConnection connection, Count why) {
         events.accept(new Event.Noted(why));
-        gone(connection);
-        connection.close();
-    }
-
-    private void gone(HttpConnection connection) {
         links.remove(connection);
-        leaving.gone(clock.getAsLong(), connection);
+        connection.close();
     }
 
     /** The head of a request was read. */
     void asked(HttpConnection connection) {
         to(connection, Stage.READING);
-        leaving.asked(connection);
     }
 
     /** The request was read whole. */
     void taken(HttpConnection connection) {
         to(connection, Stage.OPEN);
-        leaving.taken(connection);
     }
 
     void answered(HttpConnection connection) {
         to(connection, Stage.IDLE);
-        leaving.answered(clock.getAsLong(), connection);
     }
 
     private void to(HttpConnection connection, Stage stage) {
@@ -136,4 +123,10 @@
             }
         }
     }
+
+    void closeIdle() {
+        List.copyOf(links.entrySet()).stream()
+                .filter(entry -> entry.getValue().stage == Stage.SILENT || entry.getValue().stage == Stage.IDLE)
+                .forEach(entry -> entry.getKey().close());
+    }
 }
