--- a/src/main/java/dunlinhitch/lab/fleet/RigClients.java
+++ b/src/main/java/dunlinhitch/lab/fleet/RigClients.java
@@ -58,6 +58,11 @@
         return rig.onLoop(() -> asked - open);
     }
 
+    /** How many came to that end so far. */
+    public int ended(End end) throws Exception {
+        return rig.onLoop(() -> ends.getOrDefault(end, 0));
+    }
+
     /** What is worth a look, a line each. */
     public List<String> notes() throws Exception {
         return rig.onLoop(() -> List.copyOf(notes));
--- a/src/test/java/dunlinhitch/FleetRigTest.java
+++ b/src/test/java/dunlinhitch/FleetRigTest.java
@@ -97,6 +97,7 @@
             Rig.await("n3 is shut out by itself", WAIT_S, () -> said(cut, "this broker is shut out: "));
             Rig.await("the others go on without n3", WAIT_S, () -> Rig.agree(nodes.subList(0, 3)));
             assertTrue(said(nodes.get(0), "broker n3 is behind: ") && said(nodes.get(0), "broker n3 is shut out: "));
+            Rig.await("n3 has turned a query away", WAIT_S, () -> clients.ended(RigClients.End.REFUSED) > 0);
             rig.links.remove(rule);
             rig.resetSilent(cut);
             Rig.await("n3 has the list", WAIT_S, () -> said(cut, "this broker has caught up: roster 2"));
