The platform's addresses for words between brokers are read

Need: peers, peers_all and peer_listen of the configuration were passed over, so a [fleet] had to repeat them.

Config has a Talk (null where the platform says nothing). peers may be a list of addresses, names with one each, or objects with a name and an address. What can not be used, and Limits.PeerMessages false, is one line and no failed start. Nothing is switched on by the keys: only a [fleet] without listen, peer and advertise takes them. A file that is read again may have other peers. Config's constructor of before stays.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -106,6 +106,9 @@
         writtenMs = config.writtenMs();
         shared = listener != null && listener.isShared();
         this.log = log;
+        if (config.talk() != null && config.talk().trouble() != null) {
+            log.accept(config.talk().trouble());
+        }
         // no class of the fleet is loaded unless the product's own file has a [fleet]
         peers = config.product().fleet() == null ? null : new FleetLink(vertx, config, clock);
         reducer = new Reducer(config.settings(), membership(config), phases(config), peers == null ? null : peers.place(),
--- a/src/main/java/dunlinhitch/config/Config.java
+++ b/src/main/java/dunlinhitch/config/Config.java
@@ -13,10 +13,11 @@
 /**
  * What a broker is told at its start: a JSON file, with name and addresses over-ridden by the environment.
  * {@code admin}, where operators call, may be null; {@code known} is the list of stores as the broker last had it, empty if there was none; {@code product} is what its own settings file switches on; {@code scratch} is a
- * folder that the processes of this broker share, or null; {@code writtenMs} is when the file was written, Unix time in milliseconds.
+ * folder that the processes of this broker share, or null; {@code writtenMs} is when the file was written, Unix time in milliseconds;
+ * {@code talk} is what the platform says of words between brokers, or null.
  */
 public record Config(String name, Address listen, Address admin, Address discovery, long seed, JsonObject known,
-        int sockets, Routing.Settings settings, Product product, Path scratch, long writtenMs) {
+        int sockets, Routing.Settings settings, Product product, Path scratch, long writtenMs, Talk talk) {
     /** Where the file does not say how many descriptors the process may hold. */
     public static final int SOCKETS = 1024;
     private static final int LEAST_SOCKETS = 64;
@@ -25,6 +26,12 @@
     private static final String SCRATCH = "TMPDIR";
     static final String DISCOVERY = "ROUTER_DISCOVERY";
 
+    /** Where the platform says nothing of words between brokers. */
+    public Config(String name, Address listen, Address admin, Address discovery, long seed, JsonObject known, int sockets,
+            Routing.Settings settings, Product product, Path scratch, long writtenMs) {
+        this(name, listen, admin, discovery, seed, known, sockets, settings, product, scratch, writtenMs, null);
+    }
+
     /** An IP address and a port. */
     public record Address(String host, int port) {
         public static Address parse(String what, String text) {
@@ -58,15 +65,17 @@
                 throw new ConfigException("settings is missing");
             }
             JsonValue known = root.get("known");
-            return new Config(env.getOrDefault("ROUTER_NAME", root.getString("name", "broker")),
+            String name = env.getOrDefault("ROUTER_NAME", root.getString("name", "broker"));
+            Talk talk = Talk.read(root);
+            return new Config(name,
                     Address.parse("listen", env.getOrDefault("ROUTER_LISTEN", root.getString("listen", ""))),
                     admin(env.getOrDefault(ADMIN, root.getString("admin_addr", ""))),
                     Address.parse("discovery", env.getOrDefault(DISCOVERY, root.getString("discovery", ""))),
                     Long.parseUnsignedLong(root.getString("seed", "0"), 16),
                     known == null || known.isNull() ? Json.object() : known.asObject(),
                     sockets(root.get("limits")),
-                    SettingsReader.read(settings.asObject()), product,
-                    env.getOrDefault(SCRATCH, "").isEmpty() ? null : Path.of(env.get(SCRATCH)), written(file));
+                    SettingsReader.read(settings.asObject()), Talk.placed(product, talk, name),
+                    env.getOrDefault(SCRATCH, "").isEmpty() ? null : Path.of(env.get(SCRATCH)), written(file), talk);
         } catch (ConfigException e) {
             throw new ConfigException(file + ": " + e.getMessage());
         } catch (RuntimeException e) {
--- a/src/main/java/dunlinhitch/config/ConfigFile.java
+++ b/src/main/java/dunlinhitch/config/ConfigFile.java
@@ -15,8 +15,8 @@
  * loosen a rule unseen. Used by one thread at a time.
  */
 public final class ConfigFile {
-    /** The list of stores as it was; it need not be there, and its entries may be worded anew. */
-    private static final String KNOWN = "known";
+    /** The list of stores as it was, and the other brokers: they need not be there, and their entries may be worded anew. */
+    private static final Set<String> MAY_GO = Set.of("known", Talk.PEERS);
     private final Path file;
     private final Path ownFile;
     private final Map<String, String> env;
@@ -61,7 +61,7 @@
         for (String key : before.names()) {
             JsonValue was = before.get(key);
             JsonValue is = now.get(key);
-            if (at.isEmpty() && key.equals(KNOWN) || was.isNull()) {
+            if (at.isEmpty() && MAY_GO.contains(key) || was.isNull()) {
                 continue;
             }
             if (is == null || is.isNull()) {
--- a/src/main/java/dunlinhitch/config/Product.java
+++ b/src/main/java/dunlinhitch/config/Product.java
@@ -31,8 +31,8 @@
     }
 
     /**
-     * The brokers among themselves: where this one hears the others, where they reach it, where it begins to look for them, how many stores of a cell it keeps to at
-     * least, how uneven that may be (a share over the mean), how often one of all probes a store, when one on
+     * The brokers among themselves: where this one hears the others (null: where the platform says), where they reach it, where it begins to look for them,
+     * how many stores of a cell it keeps to at least, how uneven that may be (a share over the mean), how often one of all probes a store, when one on
      * older versions is a straggler and when it is shut out.
      */
     public record Fleet(Address listen, Address advertise, List<Address> peers, int least, double slack, long lookUs, long suspectUs, long turnUs,
@@ -40,6 +40,15 @@
         public Fleet {
             peers = List.copyOf(peers);
         }
+
+        Fleet at(Address hears, Address reached, List<Address> others) {
+            return new Fleet(hears, reached, others, least, slack, lookUs, suspectUs, turnUs, behindUs, shutOutUs);
+        }
+    }
+
+    /** The same with another standing among the brokers. */
+    Product with(Fleet other) {
+        return new Product(flight, discovery, dnsSd, announcement, stateDir, membership, phases, other);
     }
 
     /** A class whose queries may go in two phases; shares are from 0 to 1. */
--- a/src/main/java/dunlinhitch/config/ProductReader.java
+++ b/src/main/java/dunlinhitch/config/ProductReader.java
@@ -50,9 +50,9 @@
                 .may("margin", Kind.PERCENT, "5%", "of the work that must be saved for it to pay")
                 .may("close_for", Kind.DURATION, "1m", "how long it is closed after a block was spared that had something");
         schema.part("fleet", false)
-                .required("listen", Kind.ADDRESS, "where this broker hears the others (UDP)")
+                .may("listen", Kind.ADDRESS, null, "where this broker hears the others, UDP (the platform's peer_listen)")
                 .may("advertise", Kind.ADDRESS, null, "where the others reach it (that of listen)")
-                .many("peer", Kind.ADDRESS, true, "where another broker may be heard; its own address may stand among them")
+                .many("peer", Kind.ADDRESS, false, "where another broker may be heard; its own may stand among them (the platform's)")
                 .may("least", Kind.COUNT, "2", "stores of a cell that each broker keeps to at the least")
                 .may("slack", Kind.PERCENT, "20%", "how far the brokers at one store may be over the mean")
                 .may("look", Kind.DURATION, "200ms", "how often one other broker is asked whether it lives")
@@ -136,7 +136,7 @@
                 block.path("push_trust"), block.text("push_name"), (int) block.count("instances"));
     }
 
-    private static boolean isIp(String host) {
+    static boolean isIp(String host) {
         return host.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}") || host.matches("\\[?[0-9a-fA-F:.]*:[0-9a-fA-F:.]*\\]?");
     }
 
@@ -167,8 +167,16 @@
                 throw block.wrong("peer", "is an IP address and a port: " + peer.host() + ":" + peer.port());
             }
         }
+        for (String name : listen == null ? List.of("advertise", "peer") : List.<String>of()) {
+            if (block.has(name)) {
+                throw block.wrong(name, "is told without listen: the platform says either all of these or none");
+            }
+        }
+        if (listen != null && peers.isEmpty()) {
+            throw block.wrong("listen", "is told without a peer: there must be one where the search for the others begins");
+        }
         Address advertise = block.has("advertise") ? address(block, "advertise") : listen;
-        if (!isIp(advertise.host()) || advertise.port() == 0) {
+        if (advertise != null && (!isIp(advertise.host()) || advertise.port() == 0)) {
             throw block.wrong(block.has("advertise") ? "advertise" : "listen", "is an IP address and a port, for the others are told it: "
                     + advertise.host() + ":" + advertise.port());
         }
