--- a/src/main/java/dunlinhitch/core/FleetStage.java
+++ b/src/main/java/dunlinhitch/core/FleetStage.java
@@ -11,6 +11,7 @@
 import dunlinhitch.decide.Routing.ServerEntry;
 import dunlinhitch.decide.Routing.ServerState;
 import dunlinhitch.fleet.Fleet;
+import dunlinhitch.fleet.FleetView;
 import dunlinhitch.fleet.Signal;
 import dunlinhitch.fleet.Word;
 import java.util.ArrayList;
@@ -41,7 +42,8 @@
     private final String self;
     private Versions versions;
     private long writtenMs;
-    private long viewVersion;
+    /** What the stragglers were last told of. */
+    private FleetView seen;
     private boolean fenced;
     /** As the roster has them, by number. */
     private final Map<Integer, ServerEntry> entries = new HashMap<>();
@@ -59,6 +61,7 @@
         stragglers = new Stragglers(place.audit(), self, versions);
         fleet = new Fleet(place.self(), place.seeds(), place.settings(), seed, nowUs, new Acts());
         fleet.view().acts(versions);
+        seen = fleet.seen();
     }
 
     /** True while this broker is too far behind to decide anything safely: it lets nothing new in. */
@@ -158,9 +161,8 @@
 
     void heard(Word word) {
         fleet.heard(host.now(), dayUs(), word);
-        if (word.versions() != null && word.from().takesPart()) {
-            stragglers.told(host.now(), word.from().name(), word.versions());
-        }
+        fleet.seen().member(word.from().name()).filter(member -> member.versions() != null)
+                .ifPresent(member -> stragglers.told(host.now(), member.name(), member.versions()));
         tellTurned();
     }
 
@@ -169,9 +171,9 @@
             fleet.passed(host.now(), dayUs());
             tellTurned();
         }
-        if (viewVersion != fleet.view().version()) {
-            viewVersion = fleet.view().version();
-            Set<String> there = fleet.view().members();
+        if (seen != fleet.seen()) {
+            seen = fleet.seen();
+            Set<String> there = seen.names();
             stragglers.held().keySet().stream().filter(name -> !there.contains(name))
                     .forEach(name -> stragglers.left(host.now(), name));
         }
--- a/src/main/java/dunlinhitch/fleet/Fleet.java
+++ b/src/main/java/dunlinhitch/fleet/Fleet.java
@@ -75,6 +75,10 @@
     private final Map<String, List<String>> orders = new HashMap<>();
     private final Set<String> dirty = new HashSet<>();
     private Set<String> kept = Set.of();
+    /** What all that is decided goes by; taken anew only between decisions. */
+    private FleetView seen;
+    /** The members, or those that it knew last where it hears nobody. */
+    private Set<String> takingPart;
     private Set<String> members;
     private Map<String, String> zones = new HashMap<>();
     private Set<String> shut = Set.of();
@@ -89,7 +93,9 @@
         subsets = new Subsets(settings.subsets());
         turns = new Turns(settings.turnUs(), settings.patienceUs());
         signals = new Signals(settings.mostStores(), settings.staleUs());
-        members = view.members();
+        seen = view.now();
+        takingPart = seen.names();
+        members = takingPart;
         zones.put(self.name(), self.zone());
     }
 
@@ -108,6 +114,11 @@
         return view;
     }
 
+    /** The view that the last decision went by. */
+    public FleetView seen() {
+        return seen;
+    }
+
     public Signals signals() {
         return signals;
     }
@@ -241,7 +252,7 @@
     }
 
     private long dueUs(String store, long epoch) {
-        return turns.dueUs(store, epoch, members, view.self().name(), view.alone());
+        return turns.dueUs(store, epoch, members, view.self().name(), seen.alone());
     }
 
     /**
@@ -313,11 +324,13 @@
         }
     }
 
-    /** The newest first, each a few times. */
-    private List<Signal> riding() {
+    /** The newest first, each a few times, within so many bytes. */
+    private List<Signal> riding(int bytes) {
         List<Signal> riding = new ArrayList<>();
+        int room = bytes;
         for (Ride ride : rides) {
-            if (riding.size() == MOST_RIDING) {
+            room -= ride.signal.bytes();
+            if (riding.size() == MOST_RIDING || room < 0) {
                 break;
             }
             ride.left--;
@@ -336,7 +349,12 @@
 
     /** Brings what it keeps to in line with who takes part, what the roster says and which stores fail. */
     private void settle() {
-        Set<String> now = view.alone() ? members : view.members();
+        FleetView next = view.now();
+        if (next != seen) {
+            seen = next;
+            takingPart = seen.alone() ? takingPart : seen.names();
+        }
+        Set<String> now = takingPart;
         if (!shut.isEmpty()) {
             now = new TreeSet<>(now);
             now.removeIf(name -> shut.contains(name) && !name.equals(view.self().name()));
@@ -345,8 +363,7 @@
         if (others) {
             members = now;
             zones = new HashMap<>();
-            zones.put(view.self().name(), view.self().zone());
-            view.peers().forEach(peer -> zones.put(peer.name(), peer.zone()));
+            seen.members().forEach(member -> zones.put(member.name(), member.peer().zone()));
             stores.values().forEach(store -> dirty.add(store.cell()));
         }
         if (dirty.isEmpty() && !others) {
--- a/src/main/java/dunlinhitch/fleet/Peer.java
+++ b/src/main/java/dunlinhitch/fleet/Peer.java
@@ -13,6 +13,8 @@
 public record Peer(String name, String zone, String host, int port, long incarnation, Status status) {
     /** Incarnations are times of a start in milliseconds and a few: beyond this nobody could gainsay one. */
     static final long MOST_INCARNATION = 1_000_000_000_000_000L;
+    /** What others say is believed up to here, so that there is room to gainsay it. */
+    private static final long MOST_BELIEVED = MOST_INCARNATION / 2;
 
     /** LEFT: it said itself that it ends. */
     public enum Status { ALIVE, SUSPECT, DEAD, LEFT }
@@ -38,11 +40,28 @@
         return new Peer(name, zone, host, port, other, Status.ALIVE);
     }
 
+    boolean isAt(String otherHost, int otherPort) {
+        return port == otherPort && host.equals(otherHost);
+    }
+
+    /** Whether it could still be gainsaid, or need not be. */
+    boolean isBelievable() {
+        return incarnation < MOST_BELIEVED || incarnation == MOST_BELIEVED && status == Status.ALIVE;
+    }
+
+    int bytes() {
+        return name.length() + zone.length() + host.length() + 6 + Long.BYTES;
+    }
+
     /**
-     * Whether this stands in place of the other of the same name: what is of a later incarnation, or of the same and worse. The order is
-     * total up to the address, so brokers that heard the same in any order hold the same.
+     * Whether this stands in place of the other of the same name: what is of a later incarnation; of the same, at the higher address (two that
+     * took one name at once); of the same there, and worse. The order is total, so brokers that heard the same in any order hold the same.
      */
     boolean replaces(Peer other) {
-        return incarnation != other.incarnation ? incarnation > other.incarnation : status.compareTo(other.status) > 0;
+        if (incarnation != other.incarnation) {
+            return incarnation > other.incarnation;
+        }
+        int address = host.equals(other.host) ? Integer.compare(port, other.port) : host.compareTo(other.host);
+        return address != 0 ? address > 0 : status.compareTo(other.status) > 0;
     }
 }
--- a/src/main/java/dunlinhitch/fleet/Signal.java
+++ b/src/main/java/dunlinhitch/fleet/Signal.java
@@ -32,6 +32,10 @@
                 : number != other.number ? number > other.number : author.compareTo(other.author) > 0;
     }
 
+    int bytes() {
+        return store.length() + author.length() + 4 + 3 * Long.BYTES + Float.BYTES * report.size();
+    }
+
     /** The report as the decisions take it. */
     public float[] values() {
         float[] values = new float[report.size()];
--- a/src/main/java/dunlinhitch/peers/WordText.java
+++ b/src/main/java/dunlinhitch/peers/WordText.java
@@ -5,6 +5,7 @@
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import dunlinhitch.audit.Versions;
+import dunlinhitch.fleet.Doubt;
 import dunlinhitch.fleet.Peer;
 import dunlinhitch.fleet.Signal;
 import dunlinhitch.fleet.Word;
@@ -14,7 +15,7 @@
 
 /**
  * A word between brokers as JSON text, one in a datagram: {@code v} 1, {@code kind}, {@code from} (a peer), {@code number}, {@code about}, {@code versions}, {@code peers},
- * {@code signals}. Unknown keys are passed over, so that a later version can say more; another {@code v} can not be read.
+ * {@code signals}, {@code digest}, {@code buckets}, {@code doubts}. Unknown keys are passed over, so that a later version can say more; another {@code v} can not be read.
  */
 final class WordText {
     static final int VERSION = 1;
@@ -28,8 +29,13 @@
         word.peers().forEach(peer -> peers.add(peer(peer)));
         JsonArray signals = new JsonArray();
         word.signals().forEach(signal -> signals.add(signal(signal)));
+        JsonArray buckets = new JsonArray();
+        word.buckets().forEach(buckets::add);
+        JsonArray doubts = new JsonArray();
+        word.doubts().forEach(d -> doubts.add(Json.object().add("name", d.name()).add("incarnation", d.incarnation()).add("by", d.by())));
         JsonObject root = Json.object().add("v", VERSION).add("kind", lower(word.kind())).add("from", peer(word.from()))
-                .add("number", word.number()).add("about", word.about()).add("peers", peers).add("signals", signals);
+                .add("number", word.number()).add("about", word.about()).add("peers", peers).add("signals", signals)
+                .add("digest", word.digest()).add("buckets", buckets).add("doubts", doubts);
         return (word.versions() == null ? root : root.add("versions", versions(word.versions()))).toString();
     }
 
@@ -48,9 +54,17 @@
         for (JsonValue signal : items(root, "signals")) {
             signals.add(signal(signal.asObject()));
         }
+        List<Long> buckets = new ArrayList<>();
+        items(root, "buckets").forEach(bucket -> buckets.add(bucket.asLong()));
+        List<Doubt> doubts = new ArrayList<>();
+        for (JsonValue doubt : items(root, "doubts")) {
+            JsonObject o = doubt.asObject();
+            doubts.add(new Doubt(o.getString("name", ""), o.get("incarnation").asLong(), o.getString("by", "")));
+        }
         return new Word(Word.Kind.valueOf(upper(root.getString("kind", ""))), peer(root.get("from").asObject()),
                 root.get("number").asLong(), root.getString("about", ""),
-                root.get("versions") == null ? null : versions(root.get("versions").asObject()), peers, signals);
+                root.get("versions") == null ? null : versions(root.get("versions").asObject()), peers, signals,
+                root.getLong("digest", 0), buckets, doubts);
     }
 
     private static JsonArray items(JsonObject root, String key) {
