--- a/src/main/java/dunlinhitch/fleet/View.java
+++ b/src/main/java/dunlinhitch/fleet/View.java
@@ -532,8 +532,10 @@
     /** This broker ends: all that are known are told, so that none has to find it out. */
     public void leave() {
         self = self.as(Peer.Status.LEFT);
-        peers.values().stream().filter(Peer::takesPart)
-                .forEach(peer -> say(peer.host(), peer.port(), Word.Kind.LEAVE, 0, ""));
+        for (int i = 0; i < (knowsItself() ? 2 : 1); i++) { // who does not hear it must find it out: it is said twice
+            peers.values().stream().filter(Peer::takesPart)
+                    .forEach(peer -> say(peer.host(), peer.port(), Word.Kind.LEAVE, 0, ""));
+        }
     }
 
     private void merge(Doubt doubt, long nowUs) {
