--- a/src/main/java/dunlinhitch/FleetLink.java
+++ b/src/main/java/dunlinhitch/FleetLink.java
@@ -19,6 +19,7 @@
 import dunlinhitch.peers.Reach;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -40,29 +41,38 @@
     FleetLink(Vertx vertx, Config config, MicroClock clock) {
         this.vertx = vertx;
         told = config.product().fleet();
-        reach = reach(told, config.talk());
+        reach = reach(told, config.talk(), config.name());
         long dayMs = System.currentTimeMillis();
         List<String> zones = config.settings().zones();
         int zone = config.settings().zone();
         Peer self = new Peer(config.name(), zone < zones.size() ? Integer.toString(zone) : "", told.advertise().host(),
                 told.advertise().port(), dayMs, Peer.Status.ALIVE);
         place = new FleetPlace(self, told.peers().stream().map(peer -> new View.Seed(peer.host(), peer.port())).toList(),
-                settings(told), dayMs * 1000 - clock.getAsLong(),
+                settings(told, reach), dayMs * 1000 - clock.getAsLong(),
                 new AuditRule(told.behindUs(), AuditRule.STANDARD.againUs(), told.shutOutUs()),
                 new Versions(Main.VERSION, Digest.of(config.settings()), config.writtenMs(), 0));
     }
 
-    /** Where the platform says where the others are, nobody else is one of them. */
-    static Reach reach(Product.Fleet told, Talk talk) {
+    /**
+     * Where the platform says where the others are, nobody else is one of them. This broker is at its own address whatever others are
+     * told that it is, or it would take itself for another one of its name.
+     */
+    static Reach reach(Product.Fleet told, Talk talk, String self) {
         boolean there = talk != null && talk.listen() != null;
-        return new Reach(there ? PLATFORM_BYTES : PeerSocket.STANDARD_BYTES, !there || !talk.listen().equals(told.listen()) ? List.of()
-                : talk.peers().stream().map(one -> new Reach.Known(one.name(), one.at().host(), one.at().port())).toList());
+        List<Reach.Known> known = new ArrayList<>();
+        if (there && talk.listen().equals(told.listen()) && !talk.peers().isEmpty()) {
+            talk.peers().forEach(one -> known.add(new Reach.Known(one.name(), one.at().host(), one.at().port())));
+            known.add(new Reach.Known(self, told.advertise().host(), told.advertise().port()));
+        }
+        return new Reach(there ? PLATFORM_BYTES : PeerSocket.STANDARD_BYTES, known);
     }
 
-    static FleetSettings settings(Product.Fleet told) {
+    /** The view reckons with words as large as the socket lets out. */
+    static FleetSettings settings(Product.Fleet told, Reach reach) {
         FleetSettings standard = FleetSettings.STANDARD;
         ViewSettings view = new ViewSettings(told.lookUs(), told.lookUs() / ANSWER_PART, standard.view().helpers(), told.suspectUs(),
-                Math.max(FORGET_US, FORGET_SUSPICIONS * told.suspectUs()), standard.view().mostPeers());
+                Math.max(FORGET_US, FORGET_SUSPICIONS * told.suspectUs()), standard.view().mostPeers())
+                .withWords(reach.mostBytes()).withAddresses(!reach.isTold());
         return new FleetSettings(new SubsetRule(told.least(), standard.subsets().spread(), told.slack()), view, told.turnUs(),
                 (long) (PATIENCE * told.turnUs()), standard.staleUs(), standard.mostStores());
     }
--- a/src/main/java/dunlinhitch/peers/Reach.java
+++ b/src/main/java/dunlinhitch/peers/Reach.java
@@ -35,10 +35,15 @@
         }
     }
 
-    int mostBytes() {
+    public int mostBytes() {
         return mostBytes;
     }
 
+    /** True where each broker is told the others' addresses: then two may rightly hold other ones for the same broker. */
+    public boolean isTold() {
+        return !places.isEmpty();
+    }
+
     boolean covers(String host, int port) {
         return places.isEmpty() || places.contains(place(host, port));
     }
@@ -51,7 +56,8 @@
     /** The word with the addresses that hold here; it came from that one. */
     Word asSeenHere(Word word, String host, int port) {
         return places.isEmpty() ? word : new Word(word.kind(), at(word.from(), host, port), word.number(), word.about(),
-                word.versions(), word.peers().stream().map(this::asToldHere).toList(), word.signals());
+                word.versions(), word.peers().stream().map(this::asToldHere).toList(), word.signals(),
+                word.digest(), word.buckets(), word.doubts());
     }
 
     private Peer asToldHere(Peer peer) {
--- a/src/main/java/dunlinhitch/peers/UnreadableWord.java
+++ b/src/main/java/dunlinhitch/peers/UnreadableWord.java
@@ -12,7 +12,7 @@
         CUT(Count.PEER_WORDS_CUT),
         /** Of a later version: that broker was upgraded before this one. */
         LATER(Count.PEER_WORDS_LATER),
-        /** Of the version before, which was text: that broker is upgraded after this one. */
+        /** Of a version before: that broker is upgraded after this one. */
         OLDER(Count.PEER_WORDS_UNREAD),
         /** No word at all, or one that says what can not be. */
         NONSENSE(Count.PEER_WORDS_UNREAD);
--- a/src/main/java/dunlinhitch/peers/WordForm.java
+++ b/src/main/java/dunlinhitch/peers/WordForm.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.CodedInputStream;
 import dunlinhitch.audit.Versions;
+import dunlinhitch.fleet.Doubt;
 import dunlinhitch.fleet.Peer;
 import dunlinhitch.fleet.Signal;
 import dunlinhitch.fleet.Word;
@@ -14,26 +15,33 @@
 
 /**
  * Words between brokers as bytes, made of protobuf's varints without its tags: a version, the kind, who speaks, then one item after the
- * other, a peer or a signal, and a checksum at the end. Times go as differences from the speaker's incarnation, which is one
+ * other, a peer, a signal or a doubt, and a checksum at the end. Times go as differences from the speaker's incarnation, which is one
  * too. A word that is larger than a datagram goes as several, each a word by itself.
  *
  * <p>Every field is there in every word of a version, so a change of the form is another version. Bounds: no datagram is larger than it
  * was asked to be, and reading costs no more than the bytes that came.
  */
 final class WordForm {
-    static final int VERSION = 2;
+    static final int VERSION = 3;
     /** The first byte of a word of version 1, which was JSON. */
     static final int JSON = '{';
+    /** The first version that was not text. */
+    private static final int LEAST_BINARY = 2;
     /** Versions to come; what begins with more is no word. */
     static final int MOST_VERSION = 31;
     static final int SUM_BYTES = 4;
     static final int KIND_BITS = 0x0f;
     static final int HAS_ABOUT = 0x10;
     static final int HAS_VERSIONS = 0x20;
+    static final int HAS_DIGEST = 0x40;
+    static final int HAS_BUCKETS = 0x80;
+    /** More than any version sums up by, so that a row of them fits in a count of one byte. */
+    static final int MOST_BUCKETS = 64;
     /** The low bits of an item's first byte; the others hold a peer's status, or of how many figures a signal's report is. */
     static final int ITEM_BITS = 2;
     static final int PEER = 1;
     static final int SIGNAL = 2;
+    static final int DOUBT = 3;
     static final int MOST_FIGURES = 63;
     static final long US_OF_MS = 1000;
     private static final int LEAST_BYTES = 2 + SUM_BYTES;
@@ -49,15 +57,18 @@
 
     /**
      * The word in datagrams of so many bytes at the most, and no more than so many of them. The first is of its kind, the others are
-     * NEWS. Peers that are held for less than alive go first, for they must be able to gainsay it; then signals and peers by turns, each in the
-     * order in which they stand, so that a flood of the ones does not keep out the others.
+     * NEWS. Each bears the digest, for any of them may be the one that arrives. Buckets go in the first, which is of their number; where they
+     * leave no room for the versions these wait for the next word. Peers that are held for less than alive go first, for they must be able
+     * to gainsay it; then who doubts them; then signals and peers by turns, each in the order in which they stand, so that a flood of the
+     * ones does not keep out the others.
      */
     static Datagrams write(Word word, int mostBytes, int mostDatagrams) {
         List<byte[]> all = new ArrayList<>();
         WordWriter writer = new WordWriter(mostBytes);
-        if (!writer.head(word.kind(), word.from(), word.number(), word.about(), word.versions())) {
-            return new Datagrams(all, word.peers().size() + word.signals().size());
+        if (!writer.head(word) && (word.buckets().isEmpty() || !writer.head(withoutVersions(word)))) {
+            return new Datagrams(all, word.peers().size() + word.signals().size() + word.doubts().size());
         }
+        Word more = new Word(Word.Kind.NEWS, word.from(), 0, "", null, List.of(), List.of(), word.digest(), List.of(), List.of());
         int leftOut = 0;
         boolean answers = true; // the first one is sent even if nothing rides on it
         for (Object item : items(word)) {
@@ -66,7 +77,7 @@
                 all.add(writer.end());
                 answers = false;
                 writer = new WordWriter(mostBytes);
-                in = writer.head(Word.Kind.NEWS, word.from(), 0, "", null) && writer.add(item);
+                in = writer.head(more) && writer.add(item);
             }
             leftOut += in ? 0 : 1;
         }
@@ -76,9 +87,15 @@
         return new Datagrams(all, leftOut);
     }
 
+    private static Word withoutVersions(Word word) {
+        return new Word(word.kind(), word.from(), word.number(), word.about(), null, word.peers(), word.signals(), word.digest(),
+                word.buckets(), word.doubts());
+    }
+
     private static List<Object> items(Word word) {
         List<Object> items = new ArrayList<>();
         word.peers().stream().filter(peer -> peer.status() != Peer.Status.ALIVE).forEach(items::add);
+        items.addAll(word.doubts());
         Iterator<Peer> peers = word.peers().stream().filter(peer -> peer.status() == Peer.Status.ALIVE).iterator();
         Iterator<Signal> signals = word.signals().iterator();
         while (peers.hasNext() || signals.hasNext()) {
@@ -107,8 +124,8 @@
 
     static Word read(byte[] bytes) throws UnreadableWord {
         int version = bytes.length == 0 ? VERSION : bytes[0] & 0xff;
-        if (version == JSON) {
-            throw new UnreadableWord(Why.OLDER, "a word of version 1");
+        if (version == JSON || version >= LEAST_BINARY && version < VERSION) {
+            throw new UnreadableWord(Why.OLDER, "a word of version " + (version == JSON ? 1 : version));
         }
         if (version > VERSION && version <= MOST_VERSION) {
             throw new UnreadableWord(Why.LATER, "a word of version " + version + ", and " + VERSION + " is spoken here");
@@ -130,16 +147,16 @@
 
     private static Word read(CodedInputStream in, Texts texts) throws IOException {
         int head = in.readRawByte() & 0xff;
-        if (head > (KIND_BITS | HAS_ABOUT | HAS_VERSIONS)) {
-            throw new IOException("a head of " + head);
-        }
         Peer from = peer(in, texts, in.readRawByte(), 0);
         long number = in.readUInt64();
         String about = (head & HAS_ABOUT) == 0 ? "" : texts.read(in);
         Versions versions = (head & HAS_VERSIONS) == 0 ? null : new Versions(texts.read(in), texts.read(in),
                 from.incarnation() + in.readSInt64(), in.readUInt64());
+        long digest = (head & HAS_DIGEST) == 0 ? 0 : in.readFixed64();
+        List<Long> buckets = (head & HAS_BUCKETS) == 0 ? List.of() : buckets(in);
         List<Peer> peers = new ArrayList<>();
         List<Signal> signals = new ArrayList<>();
+        List<Doubt> doubts = new ArrayList<>();
         long seenUs = from.incarnation() * US_OF_MS;
         while (!in.isAtEnd()) {
             int item = in.readRawByte() & 0xff;
@@ -150,10 +167,11 @@
                     seenUs = signal.seenUs();
                     signals.add(signal);
                 }
+                case DOUBT -> doubts.add(doubt(in, texts, item >> ITEM_BITS, from.incarnation()));
                 default -> throw new IOException("an item of kind " + item);
             }
         }
-        return new Word(one(KINDS, head & KIND_BITS), from, number, about, versions, peers, signals);
+        return new Word(one(KINDS, head & KIND_BITS), from, number, about, versions, peers, signals, digest, buckets, doubts);
     }
 
     private static <T> T one(T[] all, int number) throws IOException {
@@ -171,6 +189,27 @@
         return new Peer(name, zone, host, port, sinceMs + in.readSInt64(), one(STATUSES, status));
     }
 
+    private static List<Long> buckets(CodedInputStream in) throws IOException {
+        int count = in.readRawByte();
+        if (count < 1 || count > MOST_BUCKETS) {
+            throw new IOException(count + " buckets");
+        }
+        List<Long> buckets = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            buckets.add(in.readFixed64());
+        }
+        return buckets;
+    }
+
+    private static Doubt doubt(CodedInputStream in, Texts texts, int spare, long sinceMs) throws IOException {
+        if (spare != 0) {
+            throw new IOException("a doubt with bits that mean nothing");
+        }
+        String name = texts.read(in);
+        String by = texts.read(in);
+        return new Doubt(name, sinceMs + in.readSInt64(), by);
+    }
+
     private static Signal signal(CodedInputStream in, Texts texts, int figures, long sinceMs, long seenUs) throws IOException {
         String store = texts.read(in);
         String author = texts.read(in);
--- a/src/main/java/dunlinhitch/peers/WordWriter.java
+++ b/src/main/java/dunlinhitch/peers/WordWriter.java
@@ -2,11 +2,13 @@
 
 import com.google.protobuf.CodedOutputStream;
 import dunlinhitch.audit.Versions;
+import dunlinhitch.fleet.Doubt;
 import dunlinhitch.fleet.Peer;
 import dunlinhitch.fleet.Signal;
 import dunlinhitch.fleet.Word;
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.List;
 
 /** Fills one datagram in the form of {@link WordForm}: what does not fit is as if it had not been tried. */
 final class WordWriter {
@@ -28,16 +30,20 @@
     }
 
     /** False where it finds no room; nothing else may be added then. */
-    boolean head(Word.Kind kind, Peer from, long number, String about, Versions versions) {
+    boolean head(Word word) {
+        Peer from = word.from();
+        String about = word.about();
+        Versions versions = word.versions();
         sinceMs = from.incarnation();
         seenUs = sinceMs * WordForm.US_OF_MS;
         boolean in = put(out -> {
             out.writeRawByte(WordForm.VERSION);
-            out.writeRawByte(kind.ordinal() | (about.isEmpty() ? 0 : WordForm.HAS_ABOUT)
-                    | (versions == null ? 0 : WordForm.HAS_VERSIONS));
+            out.writeRawByte(word.kind().ordinal() | (about.isEmpty() ? 0 : WordForm.HAS_ABOUT)
+                    | (versions == null ? 0 : WordForm.HAS_VERSIONS) | (word.digest() == 0 ? 0 : WordForm.HAS_DIGEST)
+                    | (word.buckets().isEmpty() ? 0 : WordForm.HAS_BUCKETS));
             out.writeRawByte(from.status().ordinal());
             peer(out, from, 0);
-            out.writeUInt64NoTag(number);
+            out.writeUInt64NoTag(word.number());
             if (!about.isEmpty()) {
                 texts.write(out, about);
             }
@@ -47,12 +53,16 @@
                 out.writeSInt64NoTag(versions.settingsMs() - sinceMs);
                 out.writeUInt64NoTag(versions.roster());
             }
+            if (word.digest() != 0) {
+                out.writeFixed64NoTag(word.digest());
+            }
+            buckets(out, word.buckets());
         });
         headBytes = used;
         return in;
     }
 
-    /** A peer or a signal; false where it finds no room, or could not be read. */
+    /** A peer, a signal or a doubt; false where it finds no room, or could not be read. */
     boolean add(Object item) {
         if (item instanceof Peer peer) {
             return put(out -> {
@@ -60,12 +70,32 @@
                 peer(out, peer, sinceMs);
             });
         }
+        if (item instanceof Doubt doubt) {
+            return put(out -> {
+                out.writeRawByte(WordForm.DOUBT);
+                texts.write(out, doubt.name());
+                texts.write(out, doubt.by());
+                out.writeSInt64NoTag(doubt.incarnation() - sinceMs);
+            });
+        }
         Signal signal = (Signal) item;
         boolean in = put(out -> signal(out, signal));
         seenUs = in ? signal.seenUs() : seenUs;
         return in;
     }
 
+    private static void buckets(CodedOutputStream out, List<Long> buckets) throws IOException {
+        if (buckets.size() > WordForm.MOST_BUCKETS) {
+            throw new IOException(buckets.size() + " buckets");
+        }
+        if (!buckets.isEmpty()) {
+            out.writeRawByte(buckets.size());
+        }
+        for (long bucket : buckets) {
+            out.writeFixed64NoTag(bucket);
+        }
+    }
+
     private void peer(CodedOutputStream out, Peer peer, long since) throws IOException {
         texts.write(out, peer.name());
         texts.write(out, peer.zone());
--- a/src/test/java/dunlinhitch/FleetLinkTest.java
+++ b/src/test/java/dunlinhitch/FleetLinkTest.java
@@ -1,6 +1,7 @@
 package dunlinhitch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,11 +10,14 @@
 import dunlinhitch.config.Config.Address;
 import dunlinhitch.config.ConfigFile;
 import dunlinhitch.core.Effect;
+import dunlinhitch.core.Event;
 import dunlinhitch.core.MicroClock;
 import dunlinhitch.fleet.Peer;
 import dunlinhitch.fleet.View;
 import dunlinhitch.fleet.Word;
 import dunlinhitch.lab.fleet.Rig;
+import dunlinhitch.peers.PeerSocket;
+import dunlinhitch.peers.Reach;
 import io.vertx.core.Vertx;
 import io.vertx.core.datagram.DatagramSocket;
 import java.io.IOException;
@@ -84,6 +88,29 @@
         assertEquals(7400, file.again().product().fleet().listen().port());
     }
 
+    /** Others may be told another address of this broker: it is no other one of its name to it. */
+    @Test
+    void itIsWhereItSaysThatItIs() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        try {
+            PeerSocket other = new PeerSocket(vertx, new Reach(256, List.of()), event -> { });
+            int port = other.listen("127.0.0.1", 0).toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+            int own = Rig.freeWordPort();
+            FleetLink link = new FleetLink(vertx, read(LISTEN.replace("7400", Integer.toString(own)) + "\"peers\":{\"n1\":\"127.0.0.1:" + port
+                    + "\"},", "[fleet]\n"), new MicroClock());
+            BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+            link.listen(events::add).toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+            Peer self = link.place().self();
+            other.tell(new Effect.TellPeer("127.0.0.1", own, new Word(Word.Kind.NEWS, new Peer("n1", "", "10.9.9.9", 7400, 5, Peer.Status.ALIVE),
+                    0, "", null, List.of(new Peer("n0", self.zone(), "10.9.9.8", 7400, self.incarnation(), Peer.Status.ALIVE)), List.of())));
+            Word heard = ((Event.PeerSaid) events.poll(5, TimeUnit.SECONDS)).word();
+            assertEquals(List.of(self), heard.peers());
+            assertEquals(port, heard.from().port());
+        } finally {
+            vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        }
+    }
+
     /** From the file to the wire: seeds and place by the platform's keys, and no datagram over its 256 bytes. */
     @Test
     void thePlatformsAddressesAndBoundHold() throws Exception {
@@ -98,6 +125,8 @@
             FleetLink link = new FleetLink(vertx, config, new MicroClock());
             assertEquals(7411, link.place().self().port());
             assertEquals(List.of(new View.Seed("127.0.0.1", port)), link.place().seeds());
+            assertEquals(256, link.place().settings().view().wordBytes());
+            assertFalse(link.place().settings().view().addresses(), "others may be told other addresses");
             List<Peer> peers = new ArrayList<>();
             for (int i = 0; i < 12; i++) {
                 peers.add(new Peer("broker-of-a-long-name-" + i, "0", "10.0.0." + i, 7400, 1_796_000_000_000L, Peer.Status.ALIVE));
