lab measure answer-keys: brokers with answer keys before stores, on virtual time

Four client kinds, Zipf wishes, told and untold generations, words lost and doubled, a cut, a rule that turns false while cut.

--- a/src/main/java/dunlinhitch/lab/measure/Measures.java
+++ b/src/main/java/dunlinhitch/lab/measure/Measures.java
@@ -30,6 +30,7 @@
         ALL.put("seeds", new SeedsMeasure());
         ALL.put("summaries", new SummariesMeasure());
         ALL.put("fleet-subsets", new FleetSubsetsMeasure());
+        ALL.put("answer-keys", new AnswerKeysMeasure());
         ALL.put("fleet-rig", new FleetRigMeasure());
     }
 
