--- a/src/main/java/dunlinhitch/keys/KeySettings.java
+++ b/src/main/java/dunlinhitch/keys/KeySettings.java
@@ -20,7 +20,7 @@
 public record KeySettings(int proposals, int pairs, int shards, int kinds, int brokers, double share, long nearUs, long suspectUs, long lifeUs,
         long mostBytes, int mostFlights, int mostWaiters, int mostAttempts) {
     public static final KeySettings STANDARD =
-            new KeySettings(20, 100, 4, 2, 2, 0.05, 250_000, 60_000_000, 600_000_000, 8 << 20, 4096, 256, 4);
+            new KeySettings(20, 100, 4, 2, 2, 0.02, 250_000, 60_000_000, 600_000_000, 8 << 20, 4096, 256, 4);
 
     public KeySettings {
         if (proposals < 0 || pairs < 1 || shards < 1 || kinds < 1 || brokers < 1 || !(share > 0 && share <= 1) || nearUs < 0
