--- a/src/test/java/dunlinhitch/MainTest.java
+++ b/src/test/java/dunlinhitch/MainTest.java
@@ -135,7 +135,7 @@
             assertTrue(lines.contains("queries_taken 0"), "counters are printed at exit");
             for (String off : List.of("org.apache.arrow", "org.xbill", "org.bouncycastle", "org.apache.commons.text",
                     "dunlinhitch.lab", "dunlinhitch.conf.", "dunlinhitch.roster.dnssd", "dunlinhitch.RecordSources", "org.HdrHistogram",
-                    "org.roaringbitmap", "dunlinhitch.phases.Phases", "dunlinhitch.fleet", "dunlinhitch.audit", "dunlinhitch.peers", "dunlinhitch.core.Fleet",
+                    "org.roaringbitmap", "dunlinhitch.phases.Phases", "dunlinhitch.fleet", "dunlinhitch.audit", "dunlinhitch.scoring", "dunlinhitch.peers", "dunlinhitch.core.Fleet",
                     "dunlinhitch.FleetLink", "com.google.common")) {
                 assertFalse(lines.stream().anyMatch(l -> l.contains(off)), "loaded, though nothing asks for it: " + off);
             }
--- a/src/test/java/dunlinhitch/PackagesTest.java
+++ b/src/test/java/dunlinhitch/PackagesTest.java
@@ -25,6 +25,7 @@
             Map.entry("phases", Set.of("phases")),
             Map.entry("audit", Set.of("audit")),
             Map.entry("fleet", Set.of("fleet", "audit")),
+            Map.entry("scoring", Set.of("scoring", "fleet")),
             Map.entry("core", Set.of("core", "membership", "phases", "fleet", "audit", "decide")),
             Map.entry("config", Set.of("config", "conf", "decide")),
             Map.entry("intake", Set.of("intake", "core", "decide")),
@@ -53,6 +54,23 @@
         assertEquals(Map.of(), wrong);
     }
 
+    /** A plug-in's classes are built against the interface alone: so is the interface, and so are the scorers that ship. */
+    @Test
+    void theInterfaceOfScorersStandsAlone() throws IOException {
+        Map<String, String> wrong = new TreeMap<>();
+        for (String part : List.of("scoring/api", "scoring/shipped")) {
+            for (Path file : sources(ROOT.resolve(part))) {
+                Matcher m = IMPORT.matcher(Files.readString(file));
+                while (m.find()) {
+                    if (!m.group(1).startsWith("java.") && !m.group(1).equals("dunlinhitch.scoring.api")) {
+                        wrong.put(file.toString(), m.group(1));
+                    }
+                }
+            }
+        }
+        assertEquals(Map.of(), wrong);
+    }
+
     /** What measures and stands in is no part of what serves. */
     @Test
     void nothingThatServesKnowsTheLab() throws IOException {
@@ -70,10 +88,11 @@
     void decisionsHaveNoClockOfTheirOwn() throws IOException {
         Pattern clock = Pattern.compile("System\\.(nanoTime|currentTimeMillis)|Math\\.random|new Random\\(\\)|new Thread|Instant\\.now");
         Map<String, String> wrong = new TreeMap<>();
-        for (String part : List.of("decide", "core", "membership", "phases", "fleet", "audit", "lab/sim")) {
+        for (String part : List.of("decide", "core", "membership", "phases", "fleet", "audit", "scoring", "lab/sim")) {
             for (Path file : sources(ROOT.resolve(part))) {
                 Matcher m = clock.matcher(Files.readString(file));
-                boolean mayLook = file.endsWith("MicroClock.java") || file.endsWith("SimCommands.java"); // the edge's own clock, a progress line
+                boolean mayLook = file.startsWith(ROOT.resolve("scoring/host")) || file.endsWith("MicroClock.java") 
+                        || file.endsWith("SimCommands.java"); // threads of plug-ins, the edge's own clock, a progress line
                 if (!mayLook && m.find()) {
                     wrong.put(file.toString(), m.group());
                 }
