--- a/src/main/java/dunlinhitch/lab/measure/Measures.java
+++ b/src/main/java/dunlinhitch/lab/measure/Measures.java
@@ -31,6 +31,7 @@
         ALL.put("summaries", new SummariesMeasure());
         ALL.put("fleet-subsets", new FleetSubsetsMeasure());
         ALL.put("fleet-rig", new FleetRigMeasure());
+        ALL.put("scorers", new ScorersMeasure());
     }
 
     private Measures() {
