--- a/src/main/java/dunlinhitch/lab/measure/Measures.java
+++ b/src/main/java/dunlinhitch/lab/measure/Measures.java
@@ -33,6 +33,7 @@
         ALL.put("fleet-view", new FleetViewMeasure());
         ALL.put("answer-keys", new AnswerKeysMeasure());
         ALL.put("fleet-rig", new FleetRigMeasure());
+        ALL.put("scorers", new ScorersMeasure());
     }
 
     private Measures() {
