lab explore: modules of three brokers in every order of words and troubles

Change: Explorer over a Model, Brokers that run a Subject, subjects for fleet.View and fleet.Facts, command, page, tests.

--- a/src/main/java/dunlinhitch/lab/LabCommand.java
+++ b/src/main/java/dunlinhitch/lab/LabCommand.java
@@ -1,5 +1,7 @@
 package dunlinhitch.lab;
 
+import dunlinhitch.lab.explore.ExploreCommand;
+import dunlinhitch.lab.explore.Models;
 import dunlinhitch.lab.fleet.RigCommand;
 import dunlinhitch.lab.measure.Measures;
 import dunlinhitch.lab.sim.SimCommands;
@@ -11,12 +13,14 @@
 /** Stand-ins, models and measurements of the product's own; never loaded by a broker that serves. */
 @Command(name = "lab", description = "Experiments and measurements on stand-ins of our own.", mixinStandardHelpOptions = true,
         subcommands = {LabCommand.Measure.class, SimCommands.Run.class, SimCommands.Search.class, SimCommands.Shrink.class,
-            SimCommands.Show.class, RigCommand.class})
+            SimCommands.Show.class, RigCommand.class, ExploreCommand.class})
 public final class LabCommand implements Callable<Integer> {
     @Override
     public Integer call() {
         System.out.println("lab run, search, shrink, show: simulated days");
         System.out.println("lab rig [FILE] [--seed N] [--brokers N]: processes of the program, and faults between them");
+        System.out.println("lab explore MODEL [--depth N] [--states N]: every order of words and troubles; MODEL is one of "
+                + String.join(", ", Models.names()));
         System.out.println("lab measure NAME [--seed N] [--quick]; NAME is one of " + String.join(", ", Measures.names()));
         return 0;
     }
