--- a/src/test/java/dunlinhitch/PackagesTest.java
+++ b/src/test/java/dunlinhitch/PackagesTest.java
@@ -25,11 +25,14 @@
             Map.entry("phases", Set.of("phases")),
             Map.entry("audit", Set.of("audit")),
             Map.entry("fleet", Set.of("fleet", "audit")),
+            Map.entry("keys", Set.of("keys", "fleet")),
+            Map.entry("scoring", Set.of("scoring", "fleet")),
             Map.entry("core", Set.of("core", "membership", "phases", "fleet", "audit", "decide")),
             Map.entry("config", Set.of("config", "conf", "decide")),
-            Map.entry("intake", Set.of("intake", "core", "decide")),
+            Map.entry("handover", Set.of("handover")),
+            Map.entry("intake", Set.of("intake", "core", "decide", "handover")),
             Map.entry("admin", Set.of("admin", "core", "decide")),
-            Map.entry("dispatch", Set.of("dispatch", "core", "membership", "decide")),
+            Map.entry("dispatch", Set.of("dispatch", "core", "membership", "decide", "handover")),
             Map.entry("roster", Set.of("roster", "core", "membership", "decide")),
             Map.entry("peers", Set.of("peers", "core", "fleet", "audit")),
             Map.entry("wire", Set.of("wire", "config", "decide")));
@@ -43,7 +46,7 @@
                 while (m.find()) {
                     String name = m.group(1);
                     boolean own = name.startsWith("dunlinhitch");
-                    boolean bare = Set.of("core", "decide", "membership").contains(entry.getKey()) && !name.startsWith("java.");
+                    boolean bare = Set.of("core", "decide", "membership", "keys").contains(entry.getKey()) && !name.startsWith("java.");
                     if (own && !entry.getValue().contains((name + "..").split("\\.")[1]) || !own && bare) {
                         wrong.put(file.toString(), name);
                     }
@@ -53,6 +56,23 @@
         assertEquals(Map.of(), wrong);
     }
 
+    /** A plug-in's classes are built against the interface alone: so is the interface, and so are the scorers that ship. */
+    @Test
+    void theInterfaceOfScorersStandsAlone() throws IOException {
+        Map<String, String> wrong = new TreeMap<>();
+        for (String part : List.of("scoring/api", "scoring/shipped")) {
+            for (Path file : sources(ROOT.resolve(part))) {
+                Matcher m = IMPORT.matcher(Files.readString(file));
+                while (m.find()) {
+                    if (!m.group(1).startsWith("java.") && !m.group(1).equals("dunlinhitch.scoring.api")) {
+                        wrong.put(file.toString(), m.group(1));
+                    }
+                }
+            }
+        }
+        assertEquals(Map.of(), wrong);
+    }
+
     /** What measures and stands in is no part of what serves. */
     @Test
     void nothingThatServesKnowsTheLab() throws IOException {
@@ -70,10 +90,13 @@
     void decisionsHaveNoClockOfTheirOwn() throws IOException {
         Pattern clock = Pattern.compile("System\\.(nanoTime|currentTimeMillis)|Math\\.random|new Random\\(\\)|new Thread|Instant\\.now");
         Map<String, String> wrong = new TreeMap<>();
-        for (String part : List.of("decide", "core", "membership", "phases", "fleet", "audit", "lab/sim")) {
+        for (String part : List.of("decide", "core", "membership", "phases", "fleet", "audit", "handover", "keys",
+                "scoring", "lab/sim", "lab/explore")) {
             for (Path file : sources(ROOT.resolve(part))) {
                 Matcher m = clock.matcher(Files.readString(file));
-                boolean mayLook = file.endsWith("MicroClock.java") || file.endsWith("SimCommands.java"); // the edge's own clock, a progress line
+                boolean mayLook = file.startsWith(ROOT.resolve("scoring/host")) || file.endsWith("MicroClock.java")
+                        || file.endsWith("SimCommands.java")
+                        || file.endsWith("ExploreCommand.java"); // threads of plug-ins, the edge's own clock, progress lines
                 if (!mayLook && m.find()) {
                     wrong.put(file.toString(), m.group());
                 }
