--- a/src/main/java/dunlinhitch/decide/Fleet.java
+++ b/src/main/java/dunlinhitch/decide/Fleet.java
@@ -1,5 +1,6 @@
 package dunlinhitch.decide;
 
+import dunlinhitch.decide.Routing.Layout;
 import dunlinhitch.decide.Routing.ServerState;
 import dunlinhitch.decide.State.Server;
 import java.util.ArrayList;
@@ -34,6 +35,15 @@
         return byCell.getOrDefault(cell, List.of());
     }
 
+    /** Those that hold a shard. */
+    List<Server> holders(int shard, Layout layout) {
+        List<Server> found = new ArrayList<>();
+        for (int j = 0; j < layout.inARow(); j++) {
+            found.addAll(inCell(Math.floorMod(shard + j, layout.cells())));
+        }
+        return found;
+    }
+
     /** Those in cells less than {@code reach} away, either way round. */
     List<Server> near(int cell, int reach, int cells) {
         Set<Integer> seen = new LinkedHashSet<>();
--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -84,24 +84,15 @@
         tenantLoad = settings != null && settings.tenants().equals(told.tenants()) ? tenantLoad
                 : new Shares(told.tenants().size());
         settings = told;
-        List<Learned> before = classes;
-        classes = settings.classes().stream().map(kind -> before.stream()
-                .filter(c -> c.kind.name().equals(kind.name())).findFirst()
-                .orElseGet(() -> learnedNothing(kind))).toList();
-        for (int i = 0; i < classes.size(); i++) {
-            classes.get(i).kind = settings.classes().get(i);
-        }
+        classes = Learned.carry(classes, settings.classes(), WINDOW, FIRST_ELAPSED);
         long shortest = settings.classes().stream().mapToLong(QueryClass::aimUs).min().orElseThrow();
         sweepUs = Math.max(Math.max(settings.tickUs(), SWEEP_LEAST_US), shortest / SWEEPS_PER_AIM);
         marginUs = Math.max(MARGIN_LEAST_US, 2 * settings.tickUs());
         reportAgeUs = shortest;
     }
 
-    private static Learned learnedNothing(QueryClass kind) {
-        return new Learned(kind, new Window(WINDOW, kind.aimUs() * FIRST_ELAPSED));
-    }
-
-    /** Takes one event; actions are called before this returns. */
+    /** Takes one event; actions are called before this returns. A peer's message changes nothing, for
+     * aggregators share nothing; an answer that began is still awaited. */
     public void on(long nowUs, Event event) {
         now = Math.max(now, nowUs);
         if (event instanceof QueryArrived e) {
@@ -124,7 +115,7 @@
             tune(e.settings());
         } else if (event instanceof Start) {
             start();
-        } // a PeerMessage changes nothing: aggregators share nothing; an answer that began is still awaited
+        }
     }
 
     // ---- ledger: what is out, by server, in predicted work ------------------------------
@@ -145,9 +136,7 @@
     }
 
     private final Fleet servers = new Fleet();
-    private final Map<Integer, Query> queries = new LinkedHashMap<>();
-    private final Map<Long, Query> byNumber = new HashMap<>();
-    private final Map<Integer, Part> parts = new HashMap<>();
+    private final Open pending = new Open();
 
     private double workOf(Part part) {
         return part.hintUs > 0 ? part.hintUs : typicalUs(part.query.learned);
@@ -167,7 +156,7 @@
      * empty and each sends it little: unheard it is idle. Taken for as busy as all it was left to the last
      * while the warm ones of its cell were jammed. May hurt where others keep no cold guard. */
     private double entry(Server s) {
-        double mean = warmth(s) < 1 ? 0 : fleetLoad * faded(fleetAtUs, 4.0 * reportAgeUs);
+        double mean = warmth(s) < 1 ? 0 : fleetLoad.at(now, 4.0 * reportAgeUs);
         double others = mean + (s.reported - mean) * faded(s.reportedAtUs, reportAgeUs);
         return Math.max(0, s.ledgerUs) + others * unitUs();
     }
@@ -176,25 +165,21 @@
         return Math.exp((sinceUs - now) / lifeUs);
     }
 
-    private double fleetLoad; // mean load of others over all reports, in parts
-    private long fleetAtUs;
-    private double waitSeen; // waits, times the work ahead: by least squares, how fast it is worked off
-    private double aheadSeen; // and work ahead, likewise
+    private final Fading fleetLoad = new Fading(); // mean load of others over all reports, in parts
+    private final Slope waits = new Slope(); // of the wait over the work ahead: how fast it is worked off
 
     private double waitPerWork() {
-        double doubt = Math.pow(unitUs(), 2);
-        return Math.max(WAIT_LEAST, Math.min(1 / WAIT_LEAST, (doubt + waitSeen) / (doubt + aheadSeen)));
+        return Math.max(WAIT_LEAST, Math.min(1 / WAIT_LEAST, waits.about(1, Math.pow(unitUs(), 2))));
     }
 
     /** Debt outlives the time until a server's next turn: many aggregators send each one little. */
     private double debt(Server s) {
-        double sent = sends * faded(sentAtUs, DEBT_MOST_AIMS * reportAgeUs);
+        double sent = sends.at(now, DEBT_MOST_AIMS * reportAgeUs);
         double turns = DEBT_MOST_AIMS * servers.size() / Math.max(1, sent);
         return s.debtUs * faded(s.debtAtUs, Math.max(2, Math.min(DEBT_MOST_AIMS, turns)) * reportAgeUs);
     }
 
-    private double sends; // parts sent of late, fading
-    private long sentAtUs;
+    private final Fading sends = new Fading(); // parts sent of late
 
     // ---- placement ----------------------------------------------------------------------
 
@@ -246,7 +231,7 @@
         Server best = null;
         double least = 0;
         for (int pass = 0; pass < 3 && best == null; pass++) {
-            for (Server s : replicas(part)) {
+            for (Server s : servers.holders(part.shard, settings.layout())) {
                 boolean again = part.tried.contains(s) && pass == 0;
                 if (again || !usable(s, pass == 2) || part.isOutAt(s) || !coldAllows(s, part)) {
                     continue;
@@ -264,15 +249,6 @@
         return best;
     }
 
-    private List<Server> replicas(Part part) {
-        List<Server> found = new ArrayList<>();
-        for (int j = 0; j < settings.layout().inARow(); j++) {
-            int cell = Math.floorMod(part.shard + j, settings.layout().cells());
-            found.addAll(servers.inCell(cell));
-        }
-        return found;
-    }
-
     /** A draining server gets nothing more, unless its shard has no other; never after the grace. */
     private boolean usable(Server s, boolean lastResort) {
         return !barred.contains(s.id) && (s.state == ServerState.READY
@@ -297,20 +273,17 @@
      * when warm. That is one core's work at least, shared by all; or what warm ones are seen to do for this
      * aggregator, for all aggregators see no more together than they can. */
     private double coldRate(Server s) {
-        double warm = served * faded(servedAtUs, SERVED_AIMS * reportAgeUs) / (SERVED_AIMS * reportAgeUs);
+        double warm = served.at(now, SERVED_AIMS * reportAgeUs) / (SERVED_AIMS * reportAgeUs);
         return COLD_SHARE * settings.rules().overloadFactor() * warmth(s)
                 * Math.max(1.0 / settings.aggregators(), warm);
     }
 
-    private double served; // work that a warm server has answered of late, fading
-    private long servedAtUs;
+    private final Fading served = new Fading(); // work that a warm server has answered of late
     private long warmReady; // servers that are warm and may be sent to, when that was last seen
 
     private void learnServed(Attempt a) {
         if (warmth(a.server) >= 1) {
-            double before = served * faded(servedAtUs, SERVED_AIMS * reportAgeUs);
-            served = coldWork(a.part) / Math.max(1, warmReady) + before;
-            servedAtUs = now;
+            served.add(coldWork(a.part) / Math.max(1, warmReady), now, SERVED_AIMS * reportAgeUs);
         }
     }
 
@@ -324,9 +297,7 @@
         }
         double rate = coldRate(s);
         double most = Math.max(rate * settings.rules().fallUs() / 2, coldWork(part)); // and as much flows in
-        s.coldCredit = Math.min(most, s.coldCredit + rate * (now - s.coldAtUs));
-        s.coldAtUs = now;
-        return s.coldCredit >= coldWork(part);
+        return s.cold.filled(rate, most, now) >= coldWork(part);
     }
 
     private double coldWork(Part part) {
@@ -346,7 +317,7 @@
         }
         double own = workOf(part) + callCost(s);
         if (warmth(s) < 1) {
-            s.coldCredit -= coldWork(part);
+            s.cold.level -= coldWork(part);
         }
         Attempt a = new Attempt(part, part.attempts, s, now, own, entry(s), predicted(s, part));
         a.idle = s.out.isEmpty() && s.usedAtUs > 0 && now - s.usedAtUs > reportAgeUs;
@@ -355,22 +326,11 @@
             a.idle = false;
             actions.release(s.id);
         }
-        s.usedAtUs = now;
-        s.trialUs = 0;
         if (part.attempts > 0) {
             repeatedAt.addLast(now);
         }
-        part.mayHaveRunUs = part.mayHaveRunUs < 0 ? now : part.mayHaveRunUs;
-        sends = 1 + sends * faded(sentAtUs, DEBT_MOST_AIMS * reportAgeUs);
-        sentAtUs = now;
-        part.attempts++;
-        part.tried.add(s);
-        part.out.add(a);
-        part.wanted = false;
-        s.out.add(a);
-        s.ledgerUs += own;
-        s.callParts = s.callAtUs == now ? s.callParts + 1 : 1;
-        s.callAtUs = now;
+        sends.add(1, now, DEBT_MOST_AIMS * reportAgeUs);
+        a.begin();
         double wanted = Math.min(1, PROBE_PRICE / settings.prices().probe())
                 * (PROBES_PER_PART + missed * settings.layout().inARow());
         probeCredit = Math.min(probeCredit + wanted, servers.size());
@@ -435,15 +395,12 @@
     }
 
     private void attemptEnded(AttemptEnded e) {
-        Part part = parts.get(e.part());
+        Part part = pending.part(e.part());
         Attempt a = part == null ? null : part.attempt(e.attempt());
         if (a == null) {
             return;
         }
-        part.out.remove(a);
-        a.server.out.remove(a);
-        a.server.ledgerUs = a.server.out.isEmpty() ? 0 : a.server.ledgerUs - a.workUs;
-        a.server.usedAtUs = now;
+        a.end(now);
         learn(a, e);
         learnLoss(a, e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.RESET
                 || e.outcome() == Outcome.CANCELLED && silent(a), e.outcome() == Outcome.OK);
@@ -482,7 +439,7 @@
         if (!q.over && e.outcome() != Outcome.OK && hopeless(q)) {
             giveUp(q);
         }
-        forget(part);
+        pending.forget(part);
     }
 
     /** Teaches class work and debt from how an attempt ended. */
@@ -528,8 +485,7 @@
         learnWay(a.server, now - a.sentUs - a.workUs - waitPerWork() * a.aheadUs);
         if (warmth(a.server) >= 1 && wayUs(a.server) <= 0) {
             double time = Math.min(PACE_MOST * a.predictedUs, now - a.sentUs);
-            waitSeen += FLEET_STEP * ((time - a.workUs) * a.aheadUs - waitSeen);
-            aheadSeen += FLEET_STEP * (a.aheadUs * a.aheadUs - aheadSeen);
+            waits.add(a.aheadUs, time - a.workUs, FLEET_STEP);
         }
     }
 
@@ -561,12 +517,6 @@
         }
     }
 
-    private void forget(Part part) {
-        if (part.query.over && part.out.isEmpty()) {
-            parts.remove(part.id);
-        }
-    }
-
     /** Looks after one part that is out: a spare, a copy or a move when it is late. */
     private void tend(Part part) {
         if (part.wanted) {
@@ -609,14 +559,11 @@
         countTaken();
         Learned c = classes.get(Math.max(0, Math.min(e.queryClass(), classes.size() - 1)));
         QueryClass kind = c.kind;
-        Query q = new Query(e, c, settings.limits().maxAttempts());
-        q.expiresUs = e.deadlineUs();
-        q.takenUs = now;
+        Query q = new Query(e, c, settings.limits().maxAttempts(), now);
         double own = e.hintUs() > 0 ? e.hintUs() : typicalUs(c) * e.parts();
         long aim = Math.min(kind.deadlineUs(), kind.aimUs() + (long) (kind.aimStretch() * own));
         q.aimUs = now + aim - spentUs(c, e) - (long) lagUs;
-        queries.put(q.id, q);
-        byNumber.put(q.number, q);
+        pending.add(q);
         alarm(q, giveUpUs(q));
         alarm(q, aimedUs(q));
     }
@@ -664,13 +611,11 @@
 
     private void partArrived(PartArrived e) {
         countTaken();
-        Query q = byNumber.get(e.number());
+        Query q = pending.numbered(e.number());
         if (q == null || q.over) {
             return;
         }
-        Part part = new Part(e.id(), q, e, q.step);
-        parts.put(part.id, part);
-        q.parts.add(part);
+        Part part = pending.add(new Part(e.id(), q, e, q.step));
         if (q.step > 1) {
             want(part);
         } else if (q.parts.size() == q.expected) {
@@ -764,16 +709,14 @@
     }
 
     private void end(Query q) {
-        q.over = true;
-        queries.remove(q.id);
-        byNumber.remove(q.number);
         q.parts.forEach(this::cancelOut);
-        q.parts.forEach(this::forget);
+        pending.remove(q);
     }
 
     private void clientLeft(ClientLeft e) {
-        if (queries.containsKey(e.query())) {
-            end(queries.get(e.query()));
+        Query q = pending.get(e.query());
+        if (q != null) {
+            end(q);
         }
     }
 
@@ -912,13 +855,13 @@
             warmReady = servers.values().stream().filter(s -> usable(s, false) && warmth(s) >= 1).count();
         }
         if (e.token() >= QUERY) {
-            Query q = queries.get((int) (e.token() / QUERY - 1));
+            Query q = pending.get((int) (e.token() / QUERY - 1));
             if (q != null) {
                 lookAt(q);
             }
             return;
         }
-        new ArrayList<>(queries.values()).forEach(this::lookAt);
+        pending.all().forEach(this::lookAt);
     }
 
     private void sweepAgain() {
@@ -982,9 +925,7 @@
             }
         }
         if (seen) {
-            fleetLoad = fleetLoad * faded(fleetAtUs, 4.0 * reportAgeUs);
-            fleetLoad += FLEET_STEP * (load - fleetLoad);
-            fleetAtUs = now;
+            fleetLoad.blend(load, FLEET_STEP, now, 4.0 * reportAgeUs);
             s.reported += (1 - (1 - REPORT_STEP) * faded(s.reportedAtUs, reportAgeUs)) * (load - s.reported);
             s.reportedAtUs = now;
         }
@@ -997,11 +938,11 @@
      * little: slow, hung, dead or far servers show by report or silence. May hurt when probes are dearer
      * than told. */
     private boolean scout(Query q) {
-        if (!settings.limits().mayProbe() || now - fleetAtUs < reportAgeUs / 2) {
+        if (!settings.limits().mayProbe() || now - fleetLoad.atUs < reportAgeUs / 2) {
             return false;
         }
         Set<Server> unheard = new LinkedHashSet<>();
-        q.parts.forEach(part -> unheard.addAll(replicas(part)));
+        q.parts.forEach(part -> unheard.addAll(servers.holders(part.shard, settings.layout())));
         unheard.removeIf(s -> s.state != ServerState.READY || s.probing || barred.contains(s.id)
                 || now - s.reportedAtUs < reportAgeUs / 8);
         unheard.stream().sorted(Comparator.comparingLong(s -> s.reportedAtUs)).limit((long) probeCredit)
@@ -1030,7 +971,7 @@
         } else {
             takeReport(s, e.report());
         }
-        for (Query q : new ArrayList<>(queries.values())) {
+        for (Query q : pending.all()) {
             if (q.scouts.remove(s) && q.scouts.isEmpty()) {
                 goOn(q);
             }
@@ -1055,7 +996,7 @@
         (e.kind() == ListKind.DELTA ? List.<Server>of() : servers.values()).stream()
                 .filter(s -> !listed.contains(s.id)).forEach(s -> tell(s, ServerState.GONE));
         servers.forget();
-        queries.values().forEach(q -> q.parts.stream().filter(part -> part.wanted).forEach(this::want));
+        pending.all().forEach(q -> q.parts.stream().filter(part -> part.wanted).forEach(this::want));
     }
 
     private void askAgain() {
@@ -1077,8 +1018,7 @@
             s.debtAtUs = now;
         }
         if (entry.startedUs() > s.startedUs) {
-            s.coldCredit = random.nextDouble() * unitUs();
-            s.coldAtUs = now;
+            s.cold.set(random.nextDouble() * unitUs(), now);
         }
         s.startedUs = Math.max(entry.startedUs(), s.backUs);
         s.zone = entry.zone();
@@ -1097,8 +1037,7 @@
             return;
         }
         s.cameBack(now);
-        s.coldCredit = random.nextDouble() * unitUs();
-        s.coldAtUs = now;
+        s.cold.set(random.nextDouble() * unitUs(), now);
         s.trialUs = now + (long) (random.nextDouble() * TRIAL_WITHIN_US);
     }
 
--- a/src/main/java/dunlinhitch/decide/State.java
+++ b/src/main/java/dunlinhitch/decide/State.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -56,6 +57,60 @@
         }
     }
 
+    /** A figure that fades with the time since it last changed. */
+    static final class Fading {
+        private double value;
+        long atUs;
+
+        double at(long nowUs, double lifeUs) {
+            return value * Math.exp((atUs - nowUs) / lifeUs);
+        }
+
+        void add(double more, long nowUs, double lifeUs) {
+            value = more + at(nowUs, lifeUs);
+            atUs = nowUs;
+        }
+
+        /** Moves it a step of the way to a new figure. */
+        void blend(double towards, double step, long nowUs, double lifeUs) {
+            value = at(nowUs, lifeUs);
+            value += step * (towards - value);
+            atUs = nowUs;
+        }
+    }
+
+    /** What may be spent, filled up with time. */
+    static final class Bucket {
+        double level;
+        private long atUs;
+
+        void set(double to, long nowUs) {
+            level = to;
+            atUs = nowUs;
+        }
+
+        double filled(double rate, double most, long nowUs) {
+            set(Math.min(most, level + rate * (nowUs - atUs)), nowUs);
+            return level;
+        }
+    }
+
+    /** How one figure grows with another, by least squares over the newest pairs. */
+    static final class Slope {
+        private double products;
+        private double squares;
+
+        void add(double x, double y, double step) {
+            products += step * (x * y - products);
+            squares += step * (x * x - squares);
+        }
+
+        /** The slope, drawn to a first guess that weighs as much as a pair of that square. */
+        double about(double guess, double doubt) {
+            return (guess * doubt + products) / (doubt + squares);
+        }
+    }
+
     /** Counts that fade with time, and what part of their sum each has. */
     static final class Shares {
         private final double[] counts;
@@ -91,6 +146,17 @@
             this.kind = kind;
             this.took = took;
         }
+
+        /** One for each kind, in its order: what is known of a class of that name, else nothing yet. */
+        static List<Learned> carry(List<Learned> before, List<QueryClass> kinds, int window, double firstShare) {
+            List<Learned> after = kinds.stream().map(kind -> before.stream()
+                    .filter(c -> c.kind.name().equals(kind.name())).findFirst()
+                    .orElseGet(() -> new Learned(kind, new Window(window, kind.aimUs() * firstShare)))).toList();
+            for (int i = 0; i < after.size(); i++) {
+                after.get(i).kind = kinds.get(i);
+            }
+            return after;
+        }
     }
 
     static final class Server {
@@ -114,8 +180,8 @@
         double reported;
         long reportedAtUs;
         boolean probing;
-        double coldCredit;
-        long coldAtUs;
+        /** What it may be sent while it is cold. */
+        final Bucket cold = new Bucket();
         long callAtUs = -1;
         int callParts;
 
@@ -156,6 +222,29 @@
             this.aheadUs = aheadUs;
             this.predictedUs = predictedUs;
         }
+
+        /** Books it as out, its work charged to the server. */
+        void begin() {
+            part.mayHaveRunUs = part.mayHaveRunUs < 0 ? sentUs : part.mayHaveRunUs;
+            part.attempts++;
+            part.tried.add(server);
+            part.out.add(this);
+            part.wanted = false;
+            server.usedAtUs = sentUs;
+            server.trialUs = 0;
+            server.out.add(this);
+            server.ledgerUs += workUs;
+            server.callParts = server.callAtUs == sentUs ? server.callParts + 1 : 1;
+            server.callAtUs = sentUs;
+        }
+
+        /** Books it as no longer out, its work released. */
+        void end(long nowUs) {
+            part.out.remove(this);
+            server.out.remove(this);
+            server.ledgerUs = server.out.isEmpty() ? 0 : server.ledgerUs - workUs;
+            server.usedAtUs = nowUs;
+        }
     }
 
     static final class Part {
@@ -209,8 +298,8 @@
         final List<Part> parts = new ArrayList<>();
         int expected;
         long aimUs;
-        long expiresUs;
-        long takenUs;
+        final long expiresUs;
+        final long takenUs;
         int step = 1;
         boolean firstWhole;
         final Set<Server> scouts = new LinkedHashSet<>();
@@ -225,8 +314,10 @@
         boolean over;
         final boolean repeat;
 
-        Query(QueryArrived e, Learned learned, int mostAttempts) {
+        Query(QueryArrived e, Learned learned, int mostAttempts, long takenUs) {
             id = e.id();
+            expiresUs = e.deadlineUs();
+            this.takenUs = takenUs;
             number = e.number();
             tenant = e.tenant();
             repeat = e.repeat();
@@ -236,4 +327,52 @@
             expected = Math.max(1, e.parts());
         }
     }
+
+    /** The queries that are open, and the parts that are, or may still have something out. */
+    static final class Open {
+        private final Map<Integer, Query> queries = new LinkedHashMap<>();
+        private final Map<Long, Query> byNumber = new HashMap<>();
+        private final Map<Integer, Part> parts = new HashMap<>();
+
+        void add(Query q) {
+            queries.put(q.id, q);
+            byNumber.put(q.number, q);
+        }
+
+        Part add(Part part) {
+            parts.put(part.id, part);
+            part.query.parts.add(part);
+            return part;
+        }
+
+        Query get(int id) {
+            return queries.get(id);
+        }
+
+        Query numbered(long number) {
+            return byNumber.get(number);
+        }
+
+        Part part(int id) {
+            return parts.get(id);
+        }
+
+        /** All as they are now: what is done with one may end others. */
+        List<Query> all() {
+            return new ArrayList<>(queries.values());
+        }
+
+        void remove(Query q) {
+            q.over = true;
+            queries.remove(q.id);
+            byNumber.remove(q.number);
+            q.parts.forEach(this::forget);
+        }
+
+        void forget(Part part) {
+            if (part.query.over && part.out.isEmpty()) {
+                parts.remove(part.id);
+            }
+        }
+    }
 }
