--- a/src/main/java/dunlinhitch/lab/explore/ViewSubject.java
+++ b/src/main/java/dunlinhitch/lab/explore/ViewSubject.java
@@ -19,7 +19,7 @@
      * A look every second step, an answer within one; suspected for two to four. One look that fails is enough, and an ill broker is ill by one,
      * so that suspicions and health come up within a few moves.
      */
-    private static final ViewSettings SETTINGS = new ViewSettings(2, 1, 1, 2, 1_000, 16, 1, 1, 2, 1_200, 4_800);
+    private static final ViewSettings SETTINGS = new ViewSettings(2, 1, 1, 2, 1_000, 16, 1, 1, 2, 1_200, 4_800, true);
     /** Between two starts a step apart: more than a broker gainsays in a life that is looked at here. */
     private static final long INCARNATIONS = 1_000;
     private static final int WITHIN = 80;
