One reckoning of what may be answered, and what is whole, for both steps and for phases

Reducer, SecondStep and PhaseStage each compared the weight that is in with the class's floor and need; the query's row does it for all three now, and a query's tenant is looked up once.

--- a/src/main/java/dunlinhitch/core/PhaseStage.java
+++ b/src/main/java/dunlinhitch/core/PhaseStage.java
@@ -365,13 +365,10 @@
         if (s.firstLeg != 0 || !s.legs.isEmpty() || splits.get(s.q.number) != s) {
             return;
         }
-        List<Answer.PartValue> in = s.q.in();
-        double weight = s.q.weightIn();
-        QueryClass kind = s.q.ask.kind();
-        if (!in.isEmpty() && weight >= kind.floor() - Reducer.WEIGHT_SLACK) {
-            boolean whole = weight >= kind.need() - Reducer.WEIGHT_SLACK;
+        if (s.q.enough()) {
+            boolean whole = s.q.whole();
             List<Integer> pruned = s.q.ask.showPruned() ? s.pruned.stream().sorted().toList() : null;
-            host.reply(s.q, new Answer.Served(whole, in, pruned), whole ? Count.ANSWERED_WHOLE : Count.ANSWERED_PARTLY);
+            host.reply(s.q, new Answer.Served(whole, s.q.in(), pruned), whole ? Count.ANSWERED_WHOLE : Count.ANSWERED_PARTLY);
         } else if (s.refused) {
             host.reply(s.q, new Answer.Refused(s.comeBackUs), Count.REFUSED);
         } else {
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -291,7 +291,8 @@
         int queryClass = classOf(e.ask().kind().name());
         QueryAsk ask = e.ask().dueBy(endUs).under(queryClass < 0 ? e.ask().kind() : settings.classes().get(queryClass));
         counters.add(Count.QUERIES_TAKEN);
-        counters.add(Count.TENANTS_UNKNOWN, settings.tenants().isEmpty() || tenantOf(ask.tenant()) >= 0 ? 0 : 1);
+        int tenant = tenantOf(ask.tenant());
+        counters.add(Count.TENANTS_UNKNOWN, settings.tenants().isEmpty() || tenant >= 0 ? 0 : 1);
         boolean full = queryClass < 0 // dropped since it was read
                 || stopping || fenced() || tables.held() + 1 + ask.parts().size() > settings.limits().mostHeld();
         if (full || ask.deadlineUs() <= now || tables.byId.containsKey(ask.id())) {
@@ -316,7 +317,7 @@
         if (phases != null && phases.opens(q)) {
             return;
         }
-        tell(new Routing.QueryArrived(q.number, q.number, queryClass, tenantOf(ask.tenant()), q.parts.size(), ask.deadlineUs(),
+        tell(new Routing.QueryArrived(q.number, q.number, queryClass, tenant, q.parts.size(), ask.deadlineUs(),
                 hintUs, ask.repeat()));
         for (PartRow part : q.parts) {
             tell(new Routing.PartArrived(part.number, q.number, part.ask.shard(), part.ask.weight(),
@@ -528,20 +529,17 @@
                 ended(query, PhaseStage.End.ANSWERED, 0);
                 return;
             }
-            List<Answer.PartValue> in = q.in();
-            double weight = q.weightIn();
-            boolean last = q.firstStep != null;
-            if (in.isEmpty() || !(last ? SecondStep.enough(q) : weight >= kind(q).floor() - WEIGHT_SLACK)) {
+            if (!q.enough()) {
                 counters.add(Count.ANSWERS_BARRED); // less than the class allows is no answer
                 giveUp(q);
                 return;
             }
-            boolean honest = whole && (last ? SecondStep.whole(q) : weight >= kind(q).need() - WEIGHT_SLACK);
+            boolean honest = whole && q.whole();
             if (SecondStep.follows(q)) {
                 afterwards.add(() -> second.open(q, honest));
                 return;
             }
-            reply(q, new Answer.Served(honest, in), honest ? Count.ANSWERED_WHOLE : Count.ANSWERED_PARTLY);
+            reply(q, new Answer.Served(honest, q.in()), honest ? Count.ANSWERED_WHOLE : Count.ANSWERED_PARTLY);
         }
 
         @Override
--- a/src/main/java/dunlinhitch/core/SecondStep.java
+++ b/src/main/java/dunlinhitch/core/SecondStep.java
@@ -61,18 +61,4 @@
                 (PartRow part) -> Double.isNaN(part.score) ? Double.NEGATIVE_INFINITY : part.score).reversed());
         return ranked.subList(0, Math.min(kind.followUp(), ranked.size()));
     }
-
-    /**
-     * Whether what is in of a second step may be given at all: from the class's floor on where that is under its need, else
-     * only with every part of it.
-     */
-    static boolean enough(QueryRow q) {
-        QueryClass kind = q.ask.kind();
-        return q.weightIn() >= (kind.floor() < kind.need() ? kind.floor() : 1) - Reducer.WEIGHT_SLACK;
-    }
-
-    /** An answer is whole only if the first step's was, and every part of the second is in. */
-    static boolean whole(QueryRow q) {
-        return q.firstStep.whole() && q.second.stream().allMatch(part -> part.value != null);
-    }
 }
--- a/src/main/java/dunlinhitch/core/Tables.java
+++ b/src/main/java/dunlinhitch/core/Tables.java
@@ -92,9 +92,24 @@
                     .map(part -> new Answer.PartValue(part.ask.shard(), part.value)).toList();
         }
 
-        double weightIn() {
+        private double weightIn() {
             return step().stream().filter(part -> part.value != null).mapToDouble(part -> part.ask.weight()).sum();
         }
+
+        /**
+         * Whether what is in may be given at all: from the class's floor on, but of a second step only with every part of it where
+         * the floor is not under the need.
+         */
+        boolean enough() {
+            double least = firstStep != null && ask.kind().floor() >= ask.kind().need() ? 1 : ask.kind().floor();
+            return step().stream().anyMatch(part -> part.value != null) && weightIn() >= least - Reducer.WEIGHT_SLACK;
+        }
+
+        /** Whether what is in may be marked whole; after a second step only if the first's answer was, and every part is in. */
+        boolean whole() {
+            return firstStep == null ? weightIn() >= ask.kind().need() - Reducer.WEIGHT_SLACK
+                    : firstStep.whole() && second.stream().allMatch(part -> part.value != null);
+        }
     }
 
     static final class PartRow {
