Each call to discovery has a connection of its own, so that five that hang hold back no other

Read in Watch.Call.open: calls went through Vert.x's pool, which has five connections for an address and queues the rest. Where lists are pushed eight calls may be out beside each other, so that one is made within 120 ms of the agent's return; while five hung the sixth to eighth were never written, and connects that did not come up (1 s) kept theirs although the plan had given the calls up, with the queue growing behind them. Calls connect outside of the pool now; a call that is given up while it connects closes its connection when it comes up, as before.

WatchTest.callsThatHangHoldBackNoOther fails on the old code ("no call came", the sixth). The other tests of the class, for what was found right: a call given up while it connects asks nothing and leaves no connection, a move ends calls that hang, whole lists count though the answer is reset or ends within a list. The line "SEVERE: Connection was closed" that the old code wrote when it closed a connection under a request is gone with the pool.

--- a/src/main/java/dunlinhitch/roster/Watch.java
+++ b/src/main/java/dunlinhitch/roster/Watch.java
@@ -7,11 +7,13 @@
 import dunlinhitch.core.MicroClock;
 import dunlinhitch.decide.Routing.Settings;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpConnectOptions;
+import io.vertx.core.http.RequestOptions;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +30,7 @@
     private static final int CONNECT_MS = 1000;
     private static final String LIST = "/registry/instances";
     private final Vertx vertx;
-    private final HttpClient client;
+    private final HttpClientAgent client;
     private final RosterReader reader;
     private final Consumer<Event> events;
     private final LongSupplier clock;
@@ -106,7 +108,7 @@
     private final class Call {
         private final WatchPlan.Step.Ask ask;
         private final ListText text = new ListText(MOST_BYTES);
-        private HttpClientRequest request;
+        private HttpClientConnection connection;
         private long generation;
 
         Call(WatchPlan.Step.Ask ask) {
@@ -123,30 +125,39 @@
         }
 
         void close() {
-            if (request != null) {
-                request.connection().close();
+            if (connection != null) { // else it is closed when it comes up
+                connection.close();
             }
         }
 
+        /**
+         * A connection of its own, not one of a pool: a pool has five for an address, and while five calls hang it would make
+         * none of those that are to be made beside them.
+         */
         void open() {
-            String uri = ask.since() == WatchPlan.NONE_YET ? LIST : LIST + "?follow=1&since=" + ask.since();
-            client.request(HttpMethod.GET, ask.port(), ask.host(), uri).onComplete(made -> {
+            client.connect(new HttpConnectOptions().setHost(ask.host()).setPort(ask.port()).setConnectTimeout(CONNECT_MS)).onComplete(made -> {
                 if (made.failed()) {
                     lost();
                     return;
                 }
-                request = made.result();
+                connection = made.result();
                 // without a handler Vert.x writes each reset to the log as an error
-                request.connection().exceptionHandler(e -> lost());
+                connection.exceptionHandler(e -> lost());
                 if (!isHeard()) {
                     close();
                     return;
                 }
-                request.exceptionHandler(e -> lost());
-                request.send().onSuccess(this::listen).onFailure(e -> lost());
+                String uri = ask.since() == WatchPlan.NONE_YET ? LIST : LIST + "?follow=1&since=" + ask.since();
+                connection.request(new RequestOptions().setHost(ask.host()).setPort(ask.port()).setURI(uri))
+                        .onSuccess(this::send).onFailure(e -> lost());
             });
         }
 
+        private void send(HttpClientRequest request) {
+            request.exceptionHandler(e -> lost());
+            request.send().onSuccess(this::listen).onFailure(e -> lost());
+        }
+
         private void listen(HttpClientResponse response) {
             if (response.statusCode() != 200) {
                 lost();
--- /dev/null
+++ b/src/test/java/dunlinhitch/roster/WatchTest.java
@@ -0,0 +1,266 @@
+package dunlinhitch.roster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dunlinhitch.core.Count;
+import dunlinhitch.core.Event;
+import dunlinhitch.decide.Routing.Settings;
+import dunlinhitch.lab.standin.Stage;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The watch on real connections to a discovery that plays by script; its clock is the test's. */
+class WatchTest {
+    private static final long STEP_US = 120_000;
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+    private final Context context = vertx.getOrCreateContext();
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final AtomicLong clock = new AtomicLong(1_000_000_000);
+    private final List<Script> scripts = new ArrayList<>();
+    private final Settings settings = Stage.settings(40);
+    private Watch watch;
+    private Script discovery;
+
+    /** A connection by which the watch asked. */
+    private record Asked(Socket socket, String line) {
+        void write(String text) throws IOException {
+            write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        void write(byte[] bytes) throws IOException {
+            socket.getOutputStream().write(bytes);
+            socket.getOutputStream().flush();
+        }
+
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        /** Waits until the watch has ended it; a reset is an end too. */
+        void ended() throws IOException {
+            socket.setSoTimeout(10_000);
+            try {
+                assertEquals(-1, socket.getInputStream().read());
+            } catch (java.net.SocketException e) {
+                assertTrue(e.getMessage().contains("reset"), e.getMessage());
+            }
+        }
+    }
+
+    /** Accepts, reads heads and does nothing else by itself. */
+    private final class Script implements AutoCloseable {
+        private final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final BlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
+
+        Script() throws IOException {
+            scripts.add(this);
+            Thread thread = new Thread(() -> {
+                while (!socket.isClosed()) {
+                    try {
+                        Socket one = socket.accept();
+                        asked.add(new Asked(one, head(one)));
+                    } catch (IOException e) {
+                        // the test is over, or the watch has gone
+                    }
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private String head(Socket one) throws IOException {
+            InputStream in = one.getInputStream();
+            StringBuilder head = new StringBuilder();
+            for (int b = in.read(); b >= 0 && head.indexOf("\r\n\r\n") < 0; b = head.indexOf("\r\n\r\n") < 0 ? in.read() : 0) {
+                head.append((char) b);
+            }
+            return head.isEmpty() ? "" : head.substring(0, head.indexOf("\r\n"));
+        }
+
+        Asked next() throws InterruptedException {
+            Asked next = asked.poll(10, TimeUnit.SECONDS);
+            assertNotNull(next, "no call came");
+            return next;
+        }
+
+        /** The call after one that was lost: the pause between is over. */
+        Asked again() throws InterruptedException {
+            while (true) {
+                Event.Noted lost = WatchTest.this.next(Event.Noted.class);
+                if (lost.what() == Count.ROSTER_LOST) {
+                    clock.addAndGet(STEP_US);
+                    return next();
+                }
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+            for (Asked one : asked) {
+                one.socket().close();
+            }
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        discovery = new Script();
+        watch = onLoop(() -> new Watch(vertx, settings, 7, 0, new RosterReader(List.of("a", "b"), events::add), events::add, clock::get));
+        follow(discovery);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        onLoop(() -> {
+            watch.stop();
+            return null;
+        });
+        for (Script script : scripts) {
+            script.close();
+        }
+        vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+
+    private <T> T onLoop(java.util.concurrent.Callable<T> what) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        context.runOnContext(v -> {
+            try {
+                done.complete(what.call());
+            } catch (Exception | Error e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get(10, TimeUnit.SECONDS);
+    }
+
+    private void follow(Script script) throws Exception {
+        onLoop(() -> {
+            watch.follow("127.0.0.1", script.socket.getLocalPort());
+            return null;
+        });
+    }
+
+    /** The next event of that kind; others are passed over. */
+    private <T extends Event> T next(Class<T> kind) throws InterruptedException {
+        for (;;) {
+            Event event = events.poll(10, TimeUnit.SECONDS);
+            assertNotNull(event, "no " + kind.getSimpleName());
+            if (kind.isInstance(event)) {
+                return kind.cast(event);
+            }
+        }
+    }
+
+    private static String list(int generation, boolean reset, String... stores) {
+        List<String> entries = new ArrayList<>();
+        for (String store : stores) {
+            entries.add("{\"instanceId\":\"" + store + "\",\"hostPort\":\"127.0.0.1:7\",\"zone\":\"a\",\"cell\":0,\"lifecycle\":\"ready\"}");
+        }
+        return "{\"generation\":" + generation + ",\"reset\":" + reset + ",\"instances\":[" + String.join(",", entries) + "]}\n";
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n";
+    }
+
+    private static List<String> names(Event.RosterNews news) {
+        return news.stores().stream().map(store -> store.name()).toList();
+    }
+
+    /** Time goes on by what the longest wait for the next call beside those that hang may be. */
+    private Asked afterAWait(long us) throws InterruptedException {
+        clock.addAndGet(us);
+        return discovery.next();
+    }
+
+    /**
+     * Discovery takes calls and answers none. Each further one is made all the same, on a connection of its own, while those
+     * before it are still open; when it answers one, the others end.
+     */
+    @Test
+    void callsThatHangHoldBackNoOther() throws Exception {
+        List<Asked> hang = new ArrayList<>(List.of(discovery.next(), afterAWait(8 * STEP_US)));
+        while (hang.size() < 8) {
+            hang.add(afterAWait(8 * STEP_US));
+        }
+        Asked last = hang.remove(7);
+        last.write(OK + "Transfer-Encoding: chunked\r\n\r\n" + chunk(list(5, true, "s")));
+        assertEquals(List.of("s"), names(next(Event.RosterNews.class)));
+        for (Asked one : hang) {
+            one.ended();
+        }
+    }
+
+    /** A call is given up while it connects: its connection is closed when it comes up, and nothing is asked by it. */
+    @Test
+    void aCallGivenUpWhileItConnectsLeavesNoConnection() throws Exception {
+        Script other = new Script();
+        discovery.next();
+        onLoop(() -> {
+            watch.follow("127.0.0.1", other.socket.getLocalPort());
+            watch.stop();
+            return null;
+        });
+        Asked closed = other.next();
+        assertEquals("", closed.line());
+        closed.ended();
+        assertTrue(events.isEmpty(), "a call that was not wanted any more is no lost one: " + events);
+    }
+
+    /** Discovery moves while calls to the old address hang: these end, and the new address is asked for all it has. */
+    @Test
+    void aMoveEndsTheCallsThatHang() throws Exception {
+        Asked first = discovery.next();
+        Asked second = afterAWait(8 * STEP_US);
+        Script moved = new Script();
+        follow(moved);
+        assertEquals("GET /registry/instances HTTP/1.1", moved.next().line());
+        first.ended();
+        second.ended();
+    }
+
+    /** An indented list in pieces, cut within a character; then no length, a whole line, part of another and a reset: only whole ones count. */
+    @Test
+    void wholeListsCountThoughTheAnswerIsCut() throws Exception {
+        Asked one = discovery.next();
+        assertEquals("GET /registry/instances?follow=1&since=0 HTTP/1.1", one.line());
+        one.write(OK + "\r\n");
+        byte[] indented = list(5, true, "süd").replace(",", ",\n  ").replace("[", "[\n").getBytes(StandardCharsets.UTF_8);
+        for (byte b : indented) {
+            one.write(new byte[] {b});
+        }
+        assertEquals(List.of("süd"), names(next(Event.RosterNews.class)));
+        one.write(list(6, false, "x") + list(7, false, "y").substring(0, 60));
+        assertEquals(List.of("x"), names(next(Event.RosterNews.class)));
+        one.reset();
+        Asked two = discovery.again();
+        assertEquals("GET /registry/instances?follow=1&since=6 HTTP/1.1", two.line());
+        two.write(OK + "Transfer-Encoding: chunked\r\n\r\n" + chunk(list(8, false, "z").substring(0, 50)) + "0\r\n\r\n");
+        Asked three = discovery.again();
+        assertEquals("GET /registry/instances?follow=1&since=6 HTTP/1.1", three.line());
+        three.write(OK + "\r\n" + list(9, false, "w"));
+        assertEquals(List.of("w"), names(next(Event.RosterNews.class)));
+    }
+}
