Whatever failed before, discovery is asked again early enough for its list to be read in 6 s

The term: a change counts as told 6 s after discovery had it and could be reached, whatever failed before. Now 4 s lie from one call to the next at most, and what a given-up call took is part of that; 1.8 s and more are left for the answer. Only a watch that brought a list, or lasted, is followed by a first pause. - pushed: until an address had answered once, calls were 960 ms apart (FIRST_TIMES), so a new process or one that SIGHUP had moved read the agent up to 0.9 s after its return. That holds for the first call to an address alone now.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -140,7 +140,7 @@
         }
         List<Source> all = new ArrayList<>();
         if (config.product().discovery()) {
-            all.add(new Watch(vertx, config.settings(), config.seed(), config.known().getLong("generation", 0), reader, loop, clock));
+            all.add(new Watch(vertx, reducer::settings, config.seed(), config.known().getLong("generation", 0), reader, loop, clock));
         }
         // no class of DNS is loaded unless the product's own file names a service
         records = config.product() == Product.NONE ? null
--- a/src/main/java/dunlinhitch/roster/Pauses.java
+++ b/src/main/java/dunlinhitch/roster/Pauses.java
@@ -9,24 +9,23 @@
 final class Pauses {
     /** A pause is at least this share of what it may be. */
     private static final double LEAST = 0.5;
-    private final Bounds bounds;
     private final SplittableRandom random;
+    /** What the next may be if that is more than a first one; 0: it is a first one. */
     private long pauseUs;
 
     /** The longest that a first pause may be, and that any may be. */
     record Bounds(long firstUs, long longestUs) {
     }
 
-    Pauses(Bounds bounds, long seed) {
-        this.bounds = bounds;
+    Pauses(long seed) {
         random = new SplittableRandom(seed);
-        pauseUs = bounds.firstUs();
     }
 
-    long nextUs() {
-        long us = drawn(pauseUs);
-        pauseUs = Math.min(bounds.longestUs(), 2 * pauseUs);
-        return us;
+    /** The next, within what holds now. */
+    long nextUs(Bounds bounds) {
+        long mostUs = Math.min(bounds.longestUs(), Math.max(pauseUs, bounds.firstUs()));
+        pauseUs = 2 * mostUs;
+        return drawn(mostUs);
     }
 
     /** A span of its own that is that long at most. */
@@ -36,6 +35,6 @@
 
     /** It was heard: the next pause is a first one. */
     void heard() {
-        pauseUs = bounds.firstUs();
+        pauseUs = 0;
     }
 }
--- a/src/main/java/dunlinhitch/roster/Watch.java
+++ b/src/main/java/dunlinhitch/roster/Watch.java
@@ -5,6 +5,7 @@
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.MicroClock;
+import dunlinhitch.decide.Routing.ListKind;
 import dunlinhitch.decide.Routing.Settings;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
@@ -19,6 +20,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Follows discovery. While it is lost or silent the last list stands; the watch is opened again and says which list it had,
@@ -41,13 +43,14 @@
     private long timerUs = WatchPlan.NEVER;
     private boolean answered;
 
-    public Watch(Vertx vertx, Settings settings, long seed, long knownGeneration, RosterReader reader, Consumer<Event> events,
+    /** {@code settings}: as they are now, for a new configuration may bring others. */
+    public Watch(Vertx vertx, Supplier<Settings> settings, long seed, long knownGeneration, RosterReader reader, Consumer<Event> events,
             LongSupplier clock) {
         this.vertx = vertx;
         this.reader = reader;
         this.events = events;
         this.clock = clock;
-        plan = new WatchPlan(WatchTimes.of(settings), knownGeneration, seed);
+        plan = new WatchPlan(() -> WatchTimes.of(settings.get()), knownGeneration, seed);
         client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_MS).setKeepAlive(false));
     }
 
@@ -189,7 +192,13 @@
 
         private void take(JsonObject list) {
             Event.RosterNews news = reader.read(list, false);
-            generation = list.getLong("generation", generation);
+            long numbered = list.getLong("generation", generation);
+            if (!plan.fits(ask.call(), numbered, news.kind() == ListKind.FULL)) {
+                events.accept(new Event.Noted(Count.BAD_ROSTER_ENTRIES));
+                carryOut(plan.misfit(clock.getAsLong(), ask.call()));
+                return;
+            }
+            generation = numbered;
             answered = true;
             events.accept(news);
             events.accept(new Event.RosterNumbered(generation));
--- a/src/main/java/dunlinhitch/roster/WatchPlan.java
+++ b/src/main/java/dunlinhitch/roster/WatchPlan.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 
 /**
  * When the list is asked for, given up and asked for again, and which of two addresses speaks. No I/O, clock or thread: what
@@ -13,8 +14,10 @@
     /** Lists of another discovery are numbered anew: none of its own is known yet. */
     static final long NONE_YET = -1;
     static final long NEVER = Long.MAX_VALUE;
-    /** Until an address has answered once, a further call beside an open one waits longer: the first takes a while. */
+    /** Beside the very first call to an address the next waits longer: in a process that has just started it takes a while. */
     private static final int FIRST_TIMES = 8;
+    /** After a call that took longer than its pause the next is made so soon. */
+    private static final long AT_ONCE_US = 100_000;
 
     /** What is to be done. */
     sealed interface Step {
@@ -41,7 +44,8 @@
 
     private enum Phase { PAUSING, ASKED, OPEN, ENDED }
 
-    private final WatchTimes times;
+    /** As the settings have them now. */
+    private final Supplier<WatchTimes> times;
     private final SplittableRandom random;
     private final long knownGeneration;
     private Session current;
@@ -53,7 +57,7 @@
     private List<Step> steps = new ArrayList<>();
 
     /** {@code knownGeneration}: of the list that is held at the start. */
-    WatchPlan(WatchTimes times, long knownGeneration, long seed) {
+    WatchPlan(Supplier<WatchTimes> times, long knownGeneration, long seed) {
         this.times = times;
         this.knownGeneration = knownGeneration;
         random = new SplittableRandom(seed);
@@ -63,12 +67,14 @@
     private final class Session {
         private final String host;
         private final int port;
-        private final Pauses pauses = new Pauses(times.pauses(), random.nextLong());
+        private final Pauses pauses = new Pauses(random.nextLong());
         private long generation;
         private Phase phase = Phase.PAUSING;
         /** Calls that are out, the oldest first; where one is answered it is the only one. */
         private final List<Out> calls = new ArrayList<>();
-        private boolean answered;
+        private boolean asked;
+        /** What is open has brought a list, or has been heard for a while: where it breaks, the pause after it is a first one. */
+        private boolean sound;
         private long dueUs;
         /** Since when an object is not whole. */
         private long withinUs = NEVER;
@@ -82,8 +88,11 @@
         private void ask(long now) {
             phase = Phase.ASKED;
             withinUs = NEVER;
-            calls.add(new Out(++lastCall, generation == NONE_YET));
-            dueUs = now + (times.mostCalls() == 1 ? times.answerUs() : pauses.drawn(answered ? times.againUs() : FIRST_TIMES * times.againUs()));
+            sound = false;
+            calls.add(new Out(++lastCall, now, generation == NONE_YET));
+            WatchTimes held = times.get();
+            dueUs = now + (held.mostCalls() == 1 ? held.answerUs() : pauses.drawn(asked ? held.againUs() : FIRST_TIMES * held.againUs()));
+            asked = true;
             steps.add(new Step.Ask(lastCall, host, port, generation));
         }
 
@@ -103,12 +112,17 @@
         }
 
         private void heard(long now) {
-            dueUs = now + times.silentUs() + random.nextLong(times.silentUs() / 8);
+            dueUs = now + times.get().silentUs() + random.nextLong(times.get().silentUs() / 8);
             if (withinUs != NEVER) {
-                dueUs = Math.min(dueUs, withinUs + times.stalledUs());
+                dueUs = Math.min(dueUs, withinUs + times.get().stalledUs());
             }
         }
 
+        private void proved() {
+            sound = true;
+            pauses.heard();
+        }
+
         /** That call ended or is given up; beside it others may be out. */
         private void lost(long now, Out call) {
             steps.add(new Step.Lost());
@@ -121,26 +135,28 @@
             tellSilent();
             if (calls.isEmpty()) {
                 phase = Phase.PAUSING;
-                dueUs = now + pauses.nextUs();
+                long pauseUs = pauses.nextUs(times.get().pauses());
+                // one that was given up has cost its time: from one call to the next it is no longer than the pause
+                dueUs = sound ? now + pauseUs : Math.max(now + Math.min(pauseUs, pauses.drawn(AT_ONCE_US)), call.askedUs() + pauseUs);
             }
         }
 
         private void due(long now) {
             if (phase == Phase.PAUSING) {
                 ask(now);
-            } else if (phase == Phase.OPEN || times.mostCalls() == 1) {
-                lost(now, calls.get(0));
+            } else if (phase == Phase.OPEN || times.get().mostCalls() == 1) {
+                List.copyOf(calls).forEach(call -> lost(now, call)); // more than one where new settings allow one from now on
             } else {
                 tellSilent();
-                if (calls.size() == times.mostCalls()) {
-                    lost(now, calls.get(0));
+                if (calls.size() >= times.get().mostCalls()) { // the oldest may be merely slow: it has its whole time
+                    lost(now, calls.get(now - calls.get(0).askedUs() < times.get().answerUs() ? 1 : 0));
                 }
                 ask(now);
             }
         }
     }
 
-    private record Out(long number, boolean whole) {
+    private record Out(long number, long askedUs, boolean whole) {
     }
 
     private void tellSilent() {
@@ -176,15 +192,17 @@
 
     /** Discovery is there from now on; a watch that speaks is heard until this one has spoken. */
     List<Step> follow(long now, String host, int port) {
-        if (before != null) {
-            before.end();
+        boolean first = current == null;
+        if (before != null) { // the one that it moved to last has not spoken
+            current.end();
+        } else {
+            before = current;
         }
-        before = current;
         if (before != null && before.phase != Phase.OPEN) { // a silent one has nothing to say meanwhile
             before.end();
+            before = null;
         }
-        current = new Session(host, port, before == null ? knownGeneration : NONE_YET);
-        before = before == null || before.phase == Phase.ENDED ? null : before;
+        current = new Session(host, port, first ? knownGeneration : NONE_YET);
         freshUs = silentTold ? freshUs : now;
         current.ask(now);
         return done();
@@ -213,7 +231,6 @@
     List<Step> answered(long now, long call) {
         Session session = of(call);
         if (session != null && session.phase == Phase.ASKED) {
-            session.answered = true;
             session.phase = Phase.OPEN;
             List.copyOf(session.calls).stream().filter(out -> out.number() != call).forEach(session::drop);
             session.heard(now);
@@ -227,6 +244,9 @@
         if (session != null) {
             session.withinUs = !within ? NEVER : session.withinUs == NEVER ? now : session.withinUs;
             session.heard(now);
+            if (now - out(session, call).askedUs() > times.get().silentUs()) {
+                session.proved();
+            }
             if (session == current) {
                 freshUs = now;
                 if (silentTold) {
@@ -243,7 +263,11 @@
         Session session = of(call);
         if (session != null) {
             session.generation = generation;
-            session.pauses.heard();
+            session.proved();
+            if (session.withinUs != NEVER) { // what is not whole has begun after this one
+                session.withinUs = now;
+                session.heard(now);
+            }
             if (session == current && before != null) {
                 before.end(); // from here on the new address speaks alone
                 before = null;
@@ -256,6 +280,25 @@
         return done();
     }
 
+    /**
+     * True where a list of that generation can be gone by: a change of an older one than is held is of another numbering, or was
+     * overtaken, and what it is to be laid upon is not known.
+     */
+    boolean fits(long call, long generation, boolean reset) {
+        Session session = of(call);
+        return session != null && (reset || out(session, call).whole() || generation >= session.generation);
+    }
+
+    /** What came by that call is nothing to go by: the whole list is to be asked for. */
+    List<Step> misfit(long now, long call) {
+        Session session = of(call);
+        if (session != null) {
+            session.generation = NONE_YET;
+            session.lost(now, out(session, call));
+        }
+        return done();
+    }
+
     /** The call failed, ended, or brought what is no list. */
     List<Step> lost(long now, long call) {
         Session session = of(call);
--- a/src/main/java/dunlinhitch/roster/WatchTimes.java
+++ b/src/main/java/dunlinhitch/roster/WatchTimes.java
@@ -8,7 +8,7 @@
  *
  * @param silentUs a watch on which nothing comes for so long is broken, not even the empty line of each 2 s
  * @param stalledUs an object that has begun is whole so soon, or the watch is broken
- * @param answerUs a call that is the only one has failed where nothing came for so long
+ * @param answerUs a call has failed where nothing came for so long; beside others that are out too, sooner
  * @param againUs beside a call that is not answered yet another is made after so long, where more than one may be out
  * @param mostCalls so many may be; then the oldest has failed
  * @param pauses between a watch that broke and the next call
@@ -28,7 +28,11 @@
     private static final Pauses.Bounds OWN_AGENT = new Pauses.Bounds(60_000, 120_000);
     /** A discovery that all share bears 1.4 calls a second and more: so far apart are one broker's, for each broker. */
     private static final long APART_US = 1_250_000;
-    private static final long LONGEST_US = 20 * SECOND_US;
+    /**
+     * What discovery has counts as told 6 s after it could be reached, whatever failed before: a call is made 4 s after the one
+     * before it at the latest, which leaves 2 s for its answer.
+     */
+    private static final long LONGEST_US = 4 * SECOND_US;
 
     /** By what the settings say of discovery; further calls come in time for the span after which not asking is no excuse. */
     static WatchTimes of(Settings settings) {
