Spoilt lists are known at once, bounded in depth and stray lines, and lose nothing before them

Read in ListText, Watch and RosterReader, and tested over real connections with each kind of bad list: - a bracket closed by another kind swallowed what followed until it stalled (2.5 s); the text is spoilt at once now - lines that are no list were counted one by one without an end, an event for each; after 32 in a row the connection is ended - lists that came whole in the same piece as a spoilt place were thrown away with it - depth was left to minimal-json (1,000 levels, some 2,000 frames of a 512 KB stack); 32 are allowed now - a start that overflows in microseconds, or a weight that is no finite number, was taken; such an entry is left out and counted

Found right and now tested: wrong types, missing and doubled keys, 4 MB without an end, a cut string. spoiltListsEndTheConnectionInOrder, spoiltEntriesAreLeftOutAlone and ListTextTest.whatIsWholeBeforeASpoiltPlaceCounts fail on the old code.

--- a/src/main/java/dunlinhitch/roster/ListText.java
+++ b/src/main/java/dunlinhitch/roster/ListText.java
@@ -19,6 +19,10 @@
         }
     }
 
+    /** A list has three levels; the reader of JSON would go as deep as it is told to. */
+    private static final int MOST_DEPTH = 32;
+    /** So many lines that are no list, and no list between them, are no slip: what speaks there is not discovery. */
+    private static final int MOST_STRAYS = 32;
     private final int most;
     /** What has come of an object that is not whole. */
     private byte[] begun = new byte[0];
@@ -26,10 +30,14 @@
     /** Up to here it has been looked at. */
     private int seen;
     private int depth;
+    /** For each level whether a brace began it, the innermost last. */
+    private long braces;
     private boolean quoted;
     private boolean escaped;
     private boolean strayLine;
     private int strays;
+    private int straysInARow;
+    private SpoiltException spoilt;
 
     /** No object may be longer than {@code most} bytes. */
     ListText(int most) {
@@ -48,13 +56,33 @@
         return so;
     }
 
-    /** Takes what came next; the result is the objects that are whole by it. */
+    /** Throws where the text was spoilt behind what was read of it last. */
+    void check() throws SpoiltException {
+        if (spoilt != null) {
+            throw spoilt;
+        }
+    }
+
+    /** Takes what came next; the result is the objects that are whole by it, before a place where the text is spoilt too. */
     List<String> read(byte[] bytes) throws SpoiltException {
+        check();
+        List<String> whole = new ArrayList<>();
+        try {
+            cut(bytes, whole);
+        } catch (SpoiltException e) {
+            spoilt = e;
+            if (whole.isEmpty()) {
+                throw e;
+            }
+        }
+        return whole;
+    }
+
+    private void cut(byte[] bytes, List<String> whole) throws SpoiltException {
         begun = begun.length < length + bytes.length ? Arrays.copyOf(begun, Math.max(2 * begun.length, length + bytes.length))
                 : begun;
         System.arraycopy(bytes, 0, begun, length, bytes.length);
         length += bytes.length;
-        List<String> whole = new ArrayList<>();
         int from = 0;
         for (; seen < length; seen++) {
             byte b = begun[seen];
@@ -68,11 +96,12 @@
         }
         length -= from;
         seen = length;
-        System.arraycopy(begun, from, begun, 0, length);
+        if (from > 0) {
+            System.arraycopy(begun, from, begun, 0, length);
+        }
         if (length > most) {
             throw new SpoiltException("an object of more than " + most + " bytes");
         }
-        return whole;
     }
 
     /** True where an object is whole by this byte. */
@@ -88,22 +117,34 @@
         } else if (b == '"') {
             quoted = true;
         } else if (b == '{' || b == '[') {
-            depth++;
+            if (++depth > MOST_DEPTH) {
+                throw new SpoiltException("more than " + MOST_DEPTH + " levels");
+            }
+            braces = braces << 1 | (b == '{' ? 1 : 0);
         } else if (b == '}' || b == ']') {
+            if ((braces & 1) != (b == '}' ? 1 : 0)) { // else what follows would be swallowed until it stalls
+                throw new SpoiltException("a bracket is not closed");
+            }
+            braces >>= 1;
             depth--;
+            straysInARow = depth == 0 ? 0 : straysInARow;
             return depth == 0;
         }
         return false;
     }
 
-    private void outside(byte b) {
+    private void outside(byte b) throws SpoiltException {
         if (b == '\n') {
             strayLine = false;
         } else if (!strayLine && b == '{') {
             depth = 1;
+            braces = 1;
         } else if (!strayLine && b != ' ' && b != '\t' && b != '\r') {
             strayLine = true;
             strays++;
+            if (++straysInARow > MOST_STRAYS) {
+                throw new SpoiltException("more than " + MOST_STRAYS + " lines that are no list");
+            }
         }
     }
 }
--- a/src/main/java/dunlinhitch/roster/RosterReader.java
+++ b/src/main/java/dunlinhitch/roster/RosterReader.java
@@ -15,6 +15,8 @@
 
 /** Reads lists of stores in discovery's form; an entry that can not be used is skipped and counted. */
 public final class RosterReader {
+    /** In microseconds it is a number still. */
+    private static final long LATEST_MS = Long.MAX_VALUE / 1000;
     private final List<String> zones;
     private final Consumer<Event> events;
 
@@ -57,7 +59,8 @@
         };
         int zoneIndex = zones == null ? 0 : zones.indexOf(zone);
         String wrong = name.isEmpty() ? "no id" : colon < 1 || port < 1 || port > 65_535 ? "no address: " + hostPort
-                : cell < 0 ? "no cell: " + cell : startedAtMs < 0 ? "no start: " + startedAtMs
+                : cell < 0 ? "no cell: " + cell : startedAtMs < 0 || startedAtMs > LATEST_MS ? "no start: " + startedAtMs
+                : !Double.isFinite(weight) ? "no weight: " + weight
                 : zoneIndex < 0 && state != ServerState.GONE ? "no zone of the settings: " + zone : "";
         if (!wrong.isEmpty()) {
             throw new IllegalArgumentException(wrong);
--- a/src/main/java/dunlinhitch/roster/Watch.java
+++ b/src/main/java/dunlinhitch/roster/Watch.java
@@ -184,6 +184,7 @@
                         take(Json.parse(list).asObject());
                     }
                 }
+                text.check();
             } catch (ListText.SpoiltException | RuntimeException e) { // what it held is missing: it is asked for again
                 events.accept(new Event.Noted(Count.BAD_ROSTER_ENTRIES));
                 lost();
--- a/src/test/java/dunlinhitch/roster/ListTextTest.java
+++ b/src/test/java/dunlinhitch/roster/ListTextTest.java
@@ -40,4 +40,15 @@
         assertThrows(ListText.SpoiltException.class,
                 () -> new ListText(100).read(("{" + " ".repeat(100)).getBytes(StandardCharsets.UTF_8)));
     }
+
+    /** What came whole before the place where the text is spoilt counts, in the same piece too; nothing behind it does. */
+    @Test
+    void whatIsWholeBeforeASpoiltPlaceCounts() throws ListText.SpoiltException {
+        for (String spoilt : List.of("{\"a\":[}\n", "{\"a\":" + "[".repeat(40), "x\n".repeat(40), "{\"cut\n")) {
+            ListText text = new ListText(1000);
+            assertEquals(List.of(PLAIN), text.read((PLAIN + "\n" + spoilt + PLAIN).getBytes(StandardCharsets.UTF_8)), spoilt);
+            assertThrows(ListText.SpoiltException.class, text::check);
+            assertThrows(ListText.SpoiltException.class, () -> text.read(PLAIN.getBytes(StandardCharsets.UTF_8)));
+        }
+    }
 }
--- a/src/test/java/dunlinhitch/roster/WatchTest.java
+++ b/src/test/java/dunlinhitch/roster/WatchTest.java
@@ -263,4 +263,70 @@
         three.write(OK + "\r\n" + list(9, false, "w"));
         assertEquals(List.of("w"), names(next(Event.RosterNews.class)));
     }
+
+    /** A change of an older generation than the one that is held would turn back what is known: all is asked for instead. */
+    @Test
+    void anOlderChangeChangesNothing() throws Exception {
+        Asked one = discovery.next();
+        one.write(OK + "\r\n" + list(9, true, "s") + list(8, false, "old") + list(10, false, "later"));
+        assertEquals(List.of("s"), names(next(Event.RosterNews.class)));
+        Asked two = discovery.again();
+        one.ended();
+        assertEquals("GET /registry/instances HTTP/1.1", two.line());
+        two.write(OK + "\r\n" + list(3, true, "t"));
+        assertEquals(List.of("t"), names(next(Event.RosterNews.class)));
+        assertEquals("GET /registry/instances?follow=1&since=3 HTTP/1.1", discovery.next().line());
+    }
+
+    /** What can be no list is counted, its connection ended, and asked for again; what came whole before it stands. */
+    @Test
+    void spoiltListsEndTheConnectionInOrder() throws Exception {
+        String good = list(5, true, "s");
+        List<String> spoilt = List.of(
+                "{\"generation\":\"six\",\"reset\":true,\"instances\":[]}\n",
+                "{\"generation\":6,\"reset\":true}\n",
+                "{\"generation\":6,\"reset\":true,\"instances\":{}}\n",
+                "{\"generation\":6,\"reset\":true,\"instances\":[}\n",
+                "{\"generation\":6,\"generation\":1e99,\"reset\":true,\"instances\":[]}\n",
+                "{\"a\":" + "[".repeat(200_000) + "]".repeat(200_000) + "}\n",
+                "{\"a\":\"" + "x".repeat((4 << 20) + 1),
+                "{\"cut\n",
+                "no list\n".repeat(10_000));
+        for (String text : spoilt) {
+            Asked one = discovery.next();
+            one.write(OK + "\r\n" + good);
+            assertEquals(List.of("s"), names(next(Event.RosterNews.class)));
+            try {
+                one.write(text);
+            } catch (java.net.SocketException e) {
+                // it had enough of it
+            }
+            long noted = 0;
+            for (Count what = next(Event.Noted.class).what(); what != Count.ROSTER_LOST; what = next(Event.Noted.class).what()) {
+                assertEquals(Count.BAD_ROSTER_ENTRIES, what);
+                noted++;
+            }
+            assertTrue(noted >= 1 && noted < 100, noted + " for " + text.substring(0, 5));
+            assertTrue(events.stream().noneMatch(Event.RosterNews.class::isInstance), text.substring(0, 5));
+            one.ended();
+            clock.addAndGet(STEP_US);
+        }
+    }
+
+    /** Entries of wrong types are left out, each counted, and the others of the list are taken; of an id that stands twice the last counts. */
+    @Test
+    void spoiltEntriesAreLeftOutAlone() throws Exception {
+        String good = "\"hostPort\":\"127.0.0.1:7\",\"zone\":\"a\",\"cell\":0,\"lifecycle\":\"ready\"";
+        List<String> spoilt = List.of("null", "[]", "{}", "{\"instanceId\":7," + good + "}",
+                "{\"instanceId\":\"x\"," + good + ",\"cell\":\"0\"}", "{\"instanceId\":\"x\"," + good + ",\"hostPort\":\"h:99999\"}",
+                "{\"instanceId\":\"x\"," + good + ",\"startedAtMs\":9000000000000000000}",
+                "{\"instanceId\":\"x\"," + good + ",\"weight\":1e999}", "{\"instanceId\":\"x\"," + good + ",\"lifecycle\":\"\"}");
+        Asked one = discovery.next();
+        one.write(OK + "\r\n{\"generation\":5,\"reset\":true,\"instances\":[" + String.join(",", spoilt)
+                + ",{\"instanceId\":\"s\"," + good + "}]}\n");
+        for (int i = 0; i < spoilt.size(); i++) {
+            assertEquals(Count.BAD_ROSTER_ENTRIES, next(Event.Noted.class).what(), spoilt.get(i));
+        }
+        assertEquals(List.of("s"), names(next(Event.RosterNews.class)));
+    }
 }
