A drain in the first list after a silence has no grace, also where one turn reads both

Read in Reducer.turn and RosterStage.news, while asking when a first list after a silence may have been told: - a turn takes what is said of the stores first, but RosterSilent and RosterHeard were not among that: where the loop was late and read silence, its end and the list in one turn, the list was taken as if there had been no silence, and the drain had its grace - after a move by SIGHUP the new address may be silent while the old one still tells; its news ended the silence for RosterStage, and the first list of the new address, which counts from 4 s after the move, gave its drains a grace from when it was read

Both tests (ReducerTest.aSilenceThatEndsInTheTurnThatTellsItCounts, newsOfTheOldAddressEndNoSilenceOfTheNewOne) failed on the old code with one send each. Found right: the first list of a process, and of one that began with a known list (unreadUs is 0), and a late turn (heardUs).

--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -194,8 +194,8 @@
 
     /** What says which stores there are and in what state; a turn takes it first. */
     private static boolean aboutStores(Event event) {
-        return event instanceof Event.RosterNews || event instanceof Event.SourceSaid || event instanceof Event.SourceSilent
-                || event instanceof Event.SourceNamed || event instanceof Event.BarsSeen;
+        return event instanceof Event.RosterNews || event instanceof Event.RosterSilent || event instanceof Event.RosterHeard
+                || event instanceof Event.SourceSaid || event instanceof Event.SourceSilent || event instanceof Event.SourceNamed || event instanceof Event.BarsSeen;
     }
 
     private void take(Event event) {
--- a/src/main/java/dunlinhitch/core/RosterStage.java
+++ b/src/main/java/dunlinhitch/core/RosterStage.java
@@ -44,6 +44,8 @@
      * the start: nothing was ever.
      */
     private long unreadUs;
+    /** The address that is asked now is not heard; what comes meanwhile is of the one before it. */
+    private boolean silent;
 
     RosterStage(Routing.Settings settings, MembershipSettings membership, long nowUs, Tables tables, Counters counters,
             Consumer<Effect> effects, Consumer<Routing.Event> decisions) {
@@ -73,7 +75,7 @@
         List<Claim> claims = e.stores().stream()
                 .map(entry -> new Claim(entry.name(), entry, now, TimingWheel.NEVER)).toList();
         apply(now, Math.min(toldUs, unreadUs), membership.said(now, DISCOVERY, e.kind() != ListKind.DELTA, claims));
-        unreadUs = e.kind() == ListKind.CACHED ? unreadUs : TimingWheel.NEVER;
+        unreadUs = silent || e.kind() == ListKind.CACHED ? unreadUs : TimingWheel.NEVER;
     }
 
     void named(Event.SourceNamed e) {
@@ -102,9 +104,11 @@
     void discoverySilent(long sinceUs) {
         doubtUs = inDoubt ? TimingWheel.NEVER : sinceUs + TOLD_ANYWAY_US;
         unreadUs = Math.min(unreadUs, sinceUs);
+        silent = true;
     }
 
     void discoveryHeard() {
+        silent = false;
         doubtUs = TimingWheel.NEVER;
         if (inDoubt) {
             inDoubt = false;
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -430,6 +430,27 @@
         assertEquals(0, sendsTo(silent.turn(now, List.of(new Event.RosterHeard(), query(1, 0, 1), drains)), 1), "told in the silence");
     }
 
+    /** The silence, its end and the drain are read in one turn, for the loop was late: that leaves the drain no grace either. */
+    @Test
+    void aSilenceThatEndsInTheTurnThatTellsItCounts() {
+        Event drains = new Event.RosterNews(ListKind.DELTA, List.of(store("a", 0, ServerState.DRAINING)));
+        turn(new Event.RosterNews(ListKind.FULL, List.of(store("a", 0, ServerState.READY))));
+        List<Effect> late = reducer.turn(now, List.of(query(1, 0, 1), new Event.RosterSilent(now - 2 * SECOND), new Event.RosterHeard(), drains));
+        assertEquals(0, sendsTo(late, 1));
+    }
+
+    /** Discovery moved and the new address is silent, while the old one goes on to tell: what the new one says at last may be old. */
+    @Test
+    void newsOfTheOldAddressEndNoSilenceOfTheNewOne() {
+        Event drains = new Event.RosterNews(ListKind.FULL, List.of(store("a", 0, ServerState.DRAINING)));
+        turn(new Event.RosterNews(ListKind.FULL, List.of(store("a", 0, ServerState.READY))));
+        turn(new Event.RosterSilent(now));
+        turn(new Event.RosterNews(ListKind.DELTA, List.of(store("a", 0, ServerState.READY))));
+        run(3 * SECOND);
+        List<Effect> heard = reducer.turn(now, List.of(new Event.RosterHeard(), query(1, 0, 1), drains));
+        assertEquals(0, sendsTo(heard, 1));
+    }
+
     @Test
     void theEndWaitsForWhatIsOpenAndTakesNothingNew() {
         stores();
