A configuration that was read first is taken first, where SIGHUP crosses a reading of the broker's own

Read in Broker.readAgain: what it had read went through reload() once more, and so behind a file that SIGHUP had had read in the meantime: the older configuration then held, with the older address of discovery. It is taken where it was read. ReloadTest.whatWasReadLastHolds fails on the old code (the newer one taken first, the older one last).

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -278,12 +278,7 @@
     public void reload(Supplier<Config> again) {
         vertx.executeBlocking(again::get).onComplete(read -> {
             if (read.succeeded()) {
-                Config.Address discovery = read.result().discovery();
-                writtenMs = read.result().writtenMs();
-                loop.accept(new Event.ConfigWritten(writtenMs));
-                loop.accept(new Event.ConfigTaken(read.result().settings(), discovery.host(), discovery.port()));
-                log.accept("the configuration was taken: classes " + read.result().settings().classes().stream()
-                        .map(kind -> kind.name()).toList());
+                taken(read.result());
             } else {
                 log.accept("the configuration stays as it was: " + read.cause().getMessage());
                 loop.accept(new Event.Noted(Count.BAD_CONFIGURATIONS));
@@ -291,17 +286,24 @@
         });
     }
 
+    private void taken(Config read) {
+        writtenMs = read.writtenMs();
+        loop.accept(new Event.ConfigWritten(writtenMs));
+        loop.accept(new Event.ConfigTaken(read.settings(), read.discovery().host(), read.discovery().port()));
+        log.accept("the configuration was taken: classes " + read.settings().classes().stream().map(kind -> kind.name()).toList());
+    }
+
     /** How the configuration is read again where this broker finds that it is behind the others. */
     public void rereadBy(Supplier<Config> again) {
         reread = again;
     }
 
-    /** A file that is still the one that was taken changes nothing, and is not worth a line. */
-    private void readAgain() {
+    /** A file that is still the one that was taken changes nothing, and is not worth a line. It is taken in the order of the reads. */
+    void readAgain() {
         if (reread != null) {
             vertx.executeBlocking(reread::get).onSuccess(read -> {
                 if (read.writtenMs() != writtenMs) {
-                    reload(() -> read);
+                    taken(read);
                 }
             });
         }
