Parts of an ended query are taken back before they leave, also where nothing may be cancelled

The reducer now takes back what it has gathered and asks the edge, by Effect.Withdraw, to take back what has not left; the store is told nothing.

Two more of the same reading: what was owed to the decisions was told before the turn's news of the stores, and news that followed other news of the same turn did not reach what those had sent (Reducer.turn, Attempts.flush): a part left for a store 300 ms after the word that it drains. And a first attempt that never ran wiped the time of a copy that did (Attempts.end), so the last guard let a repeat out of its window. A send now says until when it may be repeated.

Ruled out: the decisions' own books (State.Part, Policy.attemptEnded) keep the earlier time, which is only stricter. ReducerTest.whatHasNotLeft..., whatATurnSends... and both tests of AttemptsTest failed with the old lines put back.

--- a/src/main/java/dunlinhitch/core/Attempts.java
+++ b/src/main/java/dunlinhitch/core/Attempts.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.LongStream;
 
 /**
  * The life of an attempt within the reducer: what may leave at all, how the sends of a turn share calls, and the one end that each
@@ -74,12 +75,14 @@
         tables.add(row);
         part.out++;
         store.out++;
-        part.mayHaveRunUs = part.mayHaveRunUs < 0 ? host.now() : part.mayHaveRunUs;
+        long before = part.mayHaveRunUs;
+        part.mayHaveRunUs = before < 0 ? host.now() : before;
         QueryAsk ask = part.query.ask;
         long until = Math.min(dueUs, ask.deadlineUs());
         host.due(until, row.id());
+        long repeatUntil = before >= 0 && ask.kind().repeat() == Repeat.GUARDED ? before + ask.kind().dedupWindowUs() : Long.MAX_VALUE;
         calls.computeIfAbsent(server, s -> new ArrayList<>()).add(new Effect.PartSend(row.id(), part.id, part.ask.shard(),
-                ask.key(), until, ask.text(), part.first, part.follows ? part.query.firstStep : null));
+                ask.key(), until, repeatUntil, ask.text(), part.first, part.follows ? part.query.firstStep : null));
     }
 
     private void bar(String what, String why) {
@@ -104,8 +107,7 @@
         if (part.out > 0 && !settings.limits().parallelTries()) {
             return "another attempt is out";
         }
-        if (store == null || store.state() == ServerState.GONE || store.state() == ServerState.WITHDRAWN
-                || store.state() == ServerState.DRAINING && now >= store.toldUs + settings.rules().drainGraceUs()) {
+        if (store == null || takesNothingNew(store)) {
             return "the store takes nothing new";
         }
         if (tables.isBarred(store)) {
@@ -126,6 +128,11 @@
         return late || kind.repeat() == Repeat.SINGLE_SHOT ? "it may have run" : null;
     }
 
+    private boolean takesNothingNew(StoreRow store) {
+        return store.state() == ServerState.GONE || store.state() == ServerState.WITHDRAWN || store.state() == ServerState.DRAINING
+                && host.now() >= store.toldUs + host.settings().rules().drainGraceUs();
+    }
+
     /** Takes an attempt off the tables and words its one end; what it proves is noted with its part. */
     Routing.AttemptEnded end(AttemptRow row, Outcome outcome, float[] report, String value, double score) {
         tables.remove(row);
@@ -142,8 +149,11 @@
             case CANCELLED -> Count.ATTEMPTS_GIVEN_UP;
             case MOOT -> Count.SENDS_BARRED;
         });
-        if (outcome.neverRan() && part.mayHaveRunUs == row.sentUs()) {
-            part.mayHaveRunUs = -1;
+        if (!outcome.neverRan()) {
+            part.endedRunUs = part.endedRunUs < 0 ? row.sentUs() : Math.min(part.endedRunUs, row.sentUs());
+        } else if (part.mayHaveRunUs == row.sentUs()) { // then it counts from the next that may have, out or ended
+            part.mayHaveRunUs = LongStream.concat(LongStream.of(part.endedRunUs).filter(at -> at >= 0),
+                    tables.attemptsOf(part).stream().mapToLong(AttemptRow::sentUs)).min().orElse(-1);
         }
         if (outcome == Outcome.OK && !row.first() && !part.over && part.value == null) {
             part.value = value;
@@ -160,12 +170,33 @@
 
     /** Ends the wait for an attempt; one that is still to leave in this turn never does. */
     void stopWaiting(AttemptRow row) {
-        List<Effect.PartSend> waiting = calls.get(row.store().number);
-        if (waiting == null || !waiting.removeIf(send -> send.attempt() == row.id())) {
+        if (!takeBack(row)) {
             host.effect(new Effect.GiveUp(row.store().number, row.id()));
         }
     }
 
+    private boolean takeBack(AttemptRow row) {
+        List<Effect.PartSend> waiting = calls.get(row.store().number);
+        return waiting != null && waiting.removeIf(send -> send.attempt() == row.id());
+    }
+
+    /**
+     * What is still out for parts that nobody waits for was not given up: the site does not allow it. It goes on where it has
+     * left; where it has not, here or at the edge, it never does.
+     */
+    private void withdrawOver() {
+        for (PartRow part : tables.over) {
+            for (AttemptRow row : tables.attemptsOf(part)) {
+                if (takeBack(row)) {
+                    host.owe(end(row, Outcome.MOOT));
+                } else {
+                    host.effect(new Effect.Withdraw(row.store().number, row.id()));
+                }
+            }
+        }
+        tables.over.clear();
+    }
+
     /** What was to leave for that store in this turn does not: the decisions learn of it a turn later. */
     void drop(int store) {
         List<Effect.PartSend> unsent = calls.remove(store);
@@ -176,6 +207,10 @@
 
     /** The turn's sends leave, each store's in calls of as many parts as the settings allow. */
     void flush(boolean inTwoPhases) {
+        withdrawOver();
+        // the decisions may have been told of the store since, in this same turn
+        List.copyOf(calls.keySet()).stream().filter(store -> tables.stores.get(store) == null || takesNothingNew(tables.stores.get(store)))
+                .forEach(this::drop);
         int most = host.settings().layout().partsPerCall();
         calls.forEach((store, sends) -> {
             for (boolean first : ONE_AFTER_THE_OTHER) {
--- a/src/main/java/dunlinhitch/core/Effect.java
+++ b/src/main/java/dunlinhitch/core/Effect.java
@@ -14,13 +14,20 @@
     }
 
     /**
-     * What a store is sent for one part; {@code dueUs} is when the broker stops waiting for it; {@code first}: it is only
-     * asked whether there is anything; {@code after}: the first step that it follows, null for a part of that step itself.
+     * What a store is sent for one part; {@code dueUs} is when the broker stops waiting for it; {@code repeatUntilUs} is the last
+     * moment at which it may leave though it may have run before; {@code first}: it is only asked whether there is anything;
+     * {@code after}: the first step that it follows, null for a part of that step itself.
      */
-    record PartSend(long attempt, String partId, int shard, String key, long dueUs, String text, boolean first,
+    record PartSend(long attempt, String partId, int shard, String key, long dueUs, long repeatUntilUs, String text, boolean first,
             FirstStep after) {
+        /** A part that has not been sent before, or may be at any time. */
         public PartSend(long attempt, String partId, int shard, String key, long dueUs, String text) {
-            this(attempt, partId, shard, key, dueUs, text, false, null);
+            this(attempt, partId, shard, key, dueUs, Long.MAX_VALUE, text, false, null);
+        }
+
+        /** To be asked when its bytes are written: it may have waited for a connection. */
+        public boolean mayLeave(long nowUs) {
+            return nowUs < dueUs && nowUs <= repeatUntilUs;
         }
     }
 
@@ -35,6 +42,10 @@
     record GiveUp(int store, long attempt) implements Effect {
     }
 
+    /** The attempt's query is over; where cancelling is not allowed only what has not left is taken back. */
+    record Withdraw(int store, long attempt) implements Effect {
+    }
+
     /** A check of a store that asks for its report. */
     record Probe(int store, long probe) implements Effect {
     }
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -165,7 +165,6 @@
         heardUs = Math.min(now, heardSinceUs);
         List<Owed> ripe = owed.stream().filter(o -> o.atUs() <= now).toList();
         owed.removeAll(ripe);
-        ripe.forEach(o -> tell(o.event()));
         if (roster.nextUs() <= now) {
             roster.passed(now);
         }
@@ -173,6 +172,7 @@
             fleet.passed();
         }
         events.stream().filter(Reducer::aboutStores).forEach(this::take);
+        ripe.forEach(o -> tell(o.event()));
         events.stream().filter(event -> !aboutStores(event)).forEach(this::take);
         ringDue();
         attempts.flush(phases != null);
--- a/src/main/java/dunlinhitch/core/SecondStep.java
+++ b/src/main/java/dunlinhitch/core/SecondStep.java
@@ -39,7 +39,7 @@
     /** The first step is closed with what is in, {@code whole} or not; to be called when the decisions have done with the event. */
     void open(QueryRow q, boolean whole) {
         List<PartRow> in = q.parts.stream().filter(part -> part.value != null).toList();
-        q.parts.forEach(part -> part.over = true);
+        q.parts.forEach(tables::over);
         q.firstStep = new Effect.FirstStep(in.stream().map(part -> part.ask.shard()).toList(), whole);
         List<PartRow> best = best(in, q.ask.kind());
         for (PartRow part : best) {
--- a/src/main/java/dunlinhitch/core/Tables.java
+++ b/src/main/java/dunlinhitch/core/Tables.java
@@ -20,6 +20,8 @@
     final Map<Long, ProbeRow> probes = new HashMap<>();
     final Map<Integer, StoreRow> stores = new LinkedHashMap<>();
     final Map<String, StoreRow> byName = new HashMap<>();
+    /** Parts that were over in this turn, whether or not anything is out for them. */
+    final List<PartRow> over = new ArrayList<>();
     /** Rises with every change of the stores. */
     long storesVersion;
     /** Stores that are out by hand, and the number that each keeps meanwhile, listed or not. */
@@ -124,8 +126,10 @@
         /** It is only asked whether there is anything. */
         boolean first;
         int out;
-        /** When the first attempt that may have run was sent; below 0: none. */
+        /** When the first attempt that may have run was sent, be it still out; below 0: none. */
         long mayHaveRunUs = -1;
+        /** The same of those that have ended. */
+        long endedRunUs = -1;
         /** The value once it is in, else null; what the store said that it ranks by, NaN where that was no number. */
         String value;
         double score = Double.NaN;
@@ -185,8 +189,14 @@
         byExchange.remove(q.exchange);
         byId.remove(q.ask.id());
         for (PartRow part : q.all()) {
-            part.over = true;
+            over(part);
             parts.remove(part.number);
         }
     }
+
+    /** Nobody waits for the part any more: what has not left of it is taken back at the end of the turn. */
+    void over(PartRow part) {
+        part.over = true;
+        over.add(part);
+    }
 }
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -227,6 +228,64 @@
         assertEquals(List.of(), of(Effect.GiveUp.class));
     }
 
+    /**
+     * Where attempts can not be cancelled a part that had not left when its client went, or its query was answered, left all the
+     * same: it is taken back, and no store is told of what has left.
+     */
+    @Test
+    void whatHasNotLeftIsTakenBackWhereNothingMayBeCancelled() {
+        Reducer strict = uncancelled();
+        effects.addAll(strict.turn(now, List.of(query(1, 1, 4), new Event.ClientLeft(1))));
+        assertEquals(List.of(), of(SendCall.class));
+        List<Effect.PartSend> sent = partsOf(strict.turn(now, List.of(query(2, 1, 4))));
+        assertEquals(4, sent.size());
+        effects.addAll(strict.turn(now, List.of(new Event.ClientLeft(2))));
+        assertEquals(ids(sent), of(Effect.Withdraw.class).stream().map(Effect.Withdraw::attempt).collect(Collectors.toSet()));
+        assertEquals(List.of(), of(Effect.GiveUp.class));
+        effects.clear();
+        Reducer late = uncancelled();
+        List<Effect.PartSend> few = partsOf(late.turn(now, List.of(query(3, 0, 6))));
+        few.stream().limit(5).forEach(p -> late.turn(now, List.of(new Event.AttemptOver(p.attempt(), Outcome.OK, new float[0], "v"))));
+        for (long end = now + SECOND; now < end && of(Effect.Reply.class).isEmpty(); now += 5_000) {
+            effects.addAll(late.turn(now, List.of()));
+        }
+        assertTrue(answer(3) instanceof Answer.Served, "answer: " + answer(3));
+        List<Effect.PartSend> again = partsOf(effects); // the sixth was sent again once its time was over
+        assertEquals(List.of(again.get(again.size() - 1).attempt()), of(Effect.Withdraw.class).stream().map(Effect.Withdraw::attempt).toList());
+    }
+
+    private Reducer uncancelled() {
+        Reducer made = new Reducer(with(Stage.settings(40), Stage.settings(40).classes(), 4, false), 7, now);
+        made.turn(now, List.of(new Event.RosterNews(ListKind.FULL,
+                List.of(store("a", 0, ServerState.READY), store("b", 1, ServerState.READY)))));
+        return made;
+    }
+
+    private static Set<Long> ids(List<Effect.PartSend> parts) {
+        return parts.stream().map(Effect.PartSend::attempt).collect(Collectors.toSet());
+    }
+
+    /**
+     * A part that was owed to the decisions from the turn before went to a store whose drain was read in this one; one that waited
+     * for a store went to the first that came, though the next word of the same turn said that it drains.
+     */
+    @Test
+    void whatATurnSendsGoesByTheLastWordThatItHolds() {
+        stores();
+        turn(query(1, 0, 4), new Event.BarAsked(1, "a", true));
+        int b = of(Effect.StoreChanged.class).get(1).store();
+        long here = sendsTo(effects, b);
+        now += 5_000;
+        Event drains = new Event.RosterNews(ListKind.DELTA, List.of(store("b", 1, ServerState.DRAINING)));
+        effects.addAll(reducer.turn(now, now - 300_000, List.of(drains)));
+        assertTrue(here < 4, "nothing was to leave for the store that is out");
+        assertEquals(here, sendsTo(effects, b), "sent 300 ms after the store was told to drain");
+        Reducer waits = new Reducer(Stage.settings(40), 7, now);
+        waits.turn(now, List.of(query(2, 0, 2)));
+        assertEquals(List.of(), partsOf(waits.turn(now, now - 300_000, List.of(new Event.RosterNews(ListKind.FULL, List.of(
+                store("b", 1, ServerState.READY))), drains))));
+    }
+
     @Test
     void noMoreIsHeldThanTheSettingsAllow() {
         stores();
@@ -251,10 +310,13 @@
 
     /** The same settings with other classes and another number of attempts. */
     private static Settings with(List<QueryClass> classes, int attempts) {
-        Settings s = Stage.settings(40);
+        return with(Stage.settings(40), classes, attempts, true);
+    }
+
+    private static Settings with(Settings s, List<QueryClass> classes, int attempts, boolean mayCancel) {
         Limits l = s.limits();
         return new Settings(s.aggregators(), s.zones(), s.zone(), s.tickUs(), classes, s.tenants(), s.overShareWorth(),
-                s.layout(), new Limits(attempts, l.mostHeld(), l.mayCancel(), l.mayProbe(), l.parallelTries(),
+                s.layout(), new Limits(attempts, l.mostHeld(), mayCancel, l.mayProbe(), l.parallelTries(),
                         l.retryAfter(), l.maxRetryAfterUs(), l.connectTimeoutUs(), l.streamsPerConnection(),
                         l.connectionIdleUs()), s.rules(), s.prices(), s.mustAskForList(), s.reportsInAnswers(),
                 s.reportsInProbes(), s.reportFields(), s.marksRepeats());
