A call that has not left whole never becomes whole once it is given up, and late connections ask again

Seen with a peer that reads nothing: a close of a store's connection went through Vert.x's handler, which writes all that is held back first. So a call that had been reported as one that never ran (barred, withdrawn, closed) came whole as soon as the store read again, and might run twice; a word of giving up came behind the call it was to prevent; and by the same lines (read) a store that never reads again would keep the descriptor. FrameConnection.close now closes the channel at once, a part whose call has not left whole takes its connection with it, and a drain closes what is still being written as a ban did. One call at a time goes into the socket: those behind it, as those that wait for the connection to come up, can be taken back and are asked again when their bytes are written whether their time, or that in which they may be repeated, is over (FrameConnection.opened wrote them whatever had passed, up to the connect time).

A connection that was left before it was up gave its place among the descriptors back at once, though it held one until it failed or came up; it does so now when the descriptor is closed.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -323,6 +323,8 @@
             exchanges.reply(e.exchange(), e.answer());
         } else if (effect instanceof Effect.GiveUp e) {
             stores.giveUp(e);
+        } else if (effect instanceof Effect.Withdraw e) {
+            stores.withdraw(e);
         } else if (effect instanceof Effect.Probe e) {
             stores.probe(e);
         } else if (effect instanceof Effect.Release e) {
--- a/src/main/java/dunlinhitch/dispatch/Stores.java
+++ b/src/main/java/dunlinhitch/dispatch/Stores.java
@@ -63,6 +63,13 @@
         }
     }
 
+    public void withdraw(Effect.Withdraw withdraw) {
+        Way way = ways.get(withdraw.store());
+        if (way != null) { // what is being left has nothing any more that has not left
+            way.transport().withdraw(withdraw.attempt());
+        }
+    }
+
     public void probe(Effect.Probe probe) {
         Way way = ways.get(probe.store());
         if (way != null) {
--- a/src/main/java/dunlinhitch/dispatch/Transport.java
+++ b/src/main/java/dunlinhitch/dispatch/Transport.java
@@ -15,6 +15,12 @@
     /** Nobody waits for the attempt any more; false where it is not out here. */
     boolean giveUp(long attempt);
 
+    /**
+     * Nobody waits for the attempt any more, but the store is not to be told: what has not left ends, and never leaves; what has
+     * goes on.
+     */
+    void withdraw(long attempt);
+
     /** Asks for the store's report. */
     void probe(long probe);
 
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
@@ -190,6 +190,17 @@
         return true;
     }
 
+    @Override
+    public void withdraw(long attempt) {
+        for (List<PartSend> parts : waiting) {
+            if (parts.removeIf(p -> p.attempt() == attempt)) {
+                waiting.removeIf(List::isEmpty);
+                over(attempt, Outcome.MOOT);
+                return;
+            }
+        }
+    }
+
     @Override
     public void probe(long probe) {
         act(PROBE, "", actDueUs(), text -> {
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
@@ -6,8 +6,10 @@
 import dunlinhitch.core.MicroClock;
 import dunlinhitch.decide.Routing.Outcome;
 import dunlinhitch.dispatch.CallText;
+import io.netty.channel.ChannelHandlerContext;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -24,6 +26,9 @@
 /**
  * One connection to a store and what is out on it. Replies name a part, not an attempt: a part that was given up
  * here and might still be answered is not sent here again, so that each reply belongs to one attempt.
+ *
+ * <p>One call at a time is on its way into the socket: what waits behind it, as what waits for the connection to come up, can
+ * still be taken back, and is looked at again when its bytes are written.
  */
 final class FrameConnection {
     private static final int MOST_ABANDONED = 256;
@@ -48,6 +53,8 @@
     /** False where the store is to get nothing new, not even a check. */
     private final BooleanSupplier mayCheck;
     private final Consumer<FrameConnection> onClosed;
+    /** Called once, when the descriptor is free again. */
+    private final Runnable released;
     private final Map<String, Out> out = new LinkedHashMap<>();
     private final Set<String> abandoned = new LinkedHashSet<>();
     private final Set<String> answered = new LinkedHashSet<>();
@@ -56,6 +63,8 @@
     private final Deque<Long> probes = new ArrayDeque<>();
     private final Frames frames = new Frames();
     private NetSocket socket;
+    /** Done once the call that was written last has left whole. */
+    private Future<Void> lastCall = Future.succeededFuture();
     /** Checks that are not the decisions' own come back with this. */
     private static final long CHECK = -1;
     private boolean watched;
@@ -69,10 +78,11 @@
     private long usedUs;
     private long heardUs;
 
-    FrameConnection(FrameTransport.Shared shared, BooleanSupplier mayCheck, Consumer<FrameConnection> onClosed) {
+    FrameConnection(FrameTransport.Shared shared, BooleanSupplier mayCheck, Consumer<FrameConnection> onClosed, Runnable released) {
         this.mayCheck = mayCheck;
         this.shared = shared;
         this.onClosed = onClosed;
+        this.released = released;
         usedUs = now();
         heardUs = usedUs;
     }
@@ -84,15 +94,24 @@
     void connect(String host, int port) {
         shared.connect(host, port).onComplete(made -> {
             if (made.failed()) {
+                released.run();
                 closed();
-            } else if (closed) {
-                made.result().close();
+                return;
+            }
+            channel(made.result()).channel().closeFuture().addListener(f -> released.run());
+            if (closed) {
+                channel(made.result()).close();
             } else {
                 opened(made.result());
             }
         });
     }
 
+    /** Where what it is asked passes Vert.x's own handler by, which would put a close behind all that is to be written. */
+    private static ChannelHandlerContext channel(NetSocket socket) {
+        return ((NetSocketInternal) socket).channelHandlerContext();
+    }
+
     private void opened(NetSocket made) {
         socket = made;
         heardUs = now();
@@ -100,15 +119,11 @@
         made.handler(this::read);
         made.exceptionHandler(e -> { }); // the close that follows says all there is to say
         made.closeHandler(v -> closed());
-        List<List<PartSend>> calls = List.copyOf(waiting);
-        waiting.clear();
-        calls.forEach(this::call);
+        writeNext();
         List<Long> checks = List.copyOf(waitingProbes);
         waitingProbes.clear();
         checks.forEach(this::probe);
-        if (leaving) {
-            closeWhenIdle();
-        }
+        leaveWhenIdle();
     }
 
     boolean isOpen() {
@@ -121,7 +136,7 @@
 
     /** True while a frame of a part has not left whole. */
     boolean isWriting() {
-        return out.values().stream().anyMatch(o -> !o.write().isComplete());
+        return !lastCall.isComplete();
     }
 
     /** True where so many more parts may go; closes a connection that the store is about to close. */
@@ -137,13 +152,38 @@
 
     void call(List<PartSend> parts) {
         usedUs = now();
-        if (socket == null) {
-            waiting.add(new ArrayList<>(parts));
-            return;
+        waiting.add(new ArrayList<>(parts));
+        if (socket != null) {
+            writeNext();
+        }
+    }
+
+    /** What has waited may not leave any more: its time is over, or that in which it may be repeated. */
+    private void writeNext() {
+        while (!closed && !waiting.isEmpty() && !isWriting()) {
+            long now = now();
+            List<PartSend> call = waiting.remove(0);
+            List<PartSend> parts = call.stream().filter(p -> p.mayLeave(now)).toList();
+            call.stream().filter(p -> !p.mayLeave(now)).forEach(p -> over(p.attempt(), Outcome.CONNECT_FAILED));
+            if (!parts.isEmpty()) {
+                write(parts, now);
+            }
         }
-        Future<Void> write = socket.write(Frames.frame(parts.get(0).first() ? 's' : 'm', CallText.of(parts, usedUs)));
-        write.onSuccess(v -> shared.events.accept(new Event.TriesWritten(parts.size())));
-        parts.forEach(p -> out.put(p.partId(), new Out(p.attempt(), p.partId(), usedUs, write, p.first())));
+        leaveWhenIdle();
+    }
+
+    private void write(List<PartSend> parts, long now) {
+        usedUs = now;
+        Future<Void> write = socket.write(Frames.frame(parts.get(0).first() ? 's' : 'm', CallText.of(parts, now)));
+        lastCall = write;
+        parts.forEach(p -> out.put(p.partId(), new Out(p.attempt(), p.partId(), now, write, p.first())));
+        boolean atOnce = write.isComplete();
+        write.onSuccess(v -> {
+            shared.events.accept(new Event.TriesWritten(parts.size()));
+            if (!atOnce) {
+                writeNext();
+            }
+        });
         watch();
     }
 
@@ -202,19 +242,43 @@
         socket.write(Frames.frame('p', ""));
     }
 
+    private boolean takeBack(long attempt) {
+        boolean waited = waiting.stream().anyMatch(parts -> parts.removeIf(p -> p.attempt() == attempt));
+        waiting.removeIf(List::isEmpty);
+        leaveWhenIdle();
+        return waited;
+    }
+
+    private Out outFor(long attempt) {
+        return out.values().stream().filter(o -> o.attempt() == attempt).findFirst().orElse(null);
+    }
+
+    /** The attempt ends if its call has not left whole; what the store has of it stands. */
+    void withdraw(long attempt) {
+        if (takeBack(attempt)) {
+            over(attempt, Outcome.MOOT);
+            return;
+        }
+        Out taken = outFor(attempt);
+        if (taken != null && taken.neverLeft()) {
+            close();
+        }
+    }
+
     /** False where the attempt is not here. */
     boolean giveUp(long attempt) {
-        for (List<PartSend> parts : waiting) {
-            if (parts.removeIf(p -> p.attempt() == attempt)) {
-                waiting.removeIf(List::isEmpty);
-                return true;
-            }
+        if (takeBack(attempt)) {
+            return true;
         }
-        Out given = out.values().stream().filter(o -> o.attempt() == attempt).findFirst().orElse(null);
+        Out given = outFor(attempt);
         if (given == null) {
             return false;
         }
         out.remove(given.partId());
+        if (given.neverLeft()) { // behind it a word that it is given up would come after what it is to prevent
+            close();
+            return true;
+        }
         remember(abandoned, given.partId(), MOST_ABANDONED);
         socket.write(Frames.frame('n', given.partId()));
         // a machine that vanished leaves its connections open and silent: what is new goes over a fresh one,
@@ -243,6 +307,12 @@
         calls.forEach(parts -> parts.forEach(p -> over(p.attempt(), Outcome.CONNECT_FAILED)));
     }
 
+    private void leaveWhenIdle() {
+        if (leaving) {
+            closeWhenIdle();
+        }
+    }
+
     /** Takes nothing more and goes when nothing is out. */
     void closeWhenIdle() {
         leaving = true;
@@ -251,9 +321,13 @@
         }
     }
 
+    /**
+     * At once, whatever is still to be written: a call that has not left whole is reported as one that never ran, and an orderly
+     * close would first write it. What it drops beside calls says no more than the close itself: that nobody waits.
+     */
     void close() {
         if (socket != null) {
-            socket.close();
+            channel(socket).close();
         }
         closed();
     }
@@ -297,9 +371,7 @@
         } catch (Frames.MalformedException e) {
             spoilt();
         }
-        if (leaving) {
-            closeWhenIdle();
-        }
+        leaveWhenIdle();
     }
 
     private void spoilt() {
--- a/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameTransport.java
@@ -88,8 +88,8 @@
         FrameConnection best = null;
         if (state != ServerState.GONE && state != ServerState.WITHDRAWN && !barred) {
             for (FrameConnection c : List.copyOf(connections)) {
-                // one that is still to come up would take the call past the word that the store drains
-                boolean fits = c.takes(parts.size(), ids) && (state == ServerState.READY || c.isOpen());
+                // one that is still to come up, or to write, would take the call past the word that the store drains
+                boolean fits = c.takes(parts.size(), ids) && (state == ServerState.READY || c.isOpen() && !c.isWriting());
                 if (fits && (best == null || c.isOpen() && !best.isOpen())) {
                     best = c;
                 }
@@ -114,6 +114,11 @@
         return found;
     }
 
+    @Override
+    public void withdraw(long attempt) {
+        List.copyOf(connections).forEach(c -> c.withdraw(attempt));
+    }
+
     @Override
     public void probe(long probe) {
         FrameConnection best = null;
@@ -143,10 +148,7 @@
 
     private FrameConnection open() {
         shared.events.accept(new Event.Noted(Count.CONNECTIONS_OPENED));
-        FrameConnection made = new FrameConnection(shared, this::mayCheck, closed -> {
-            shared.connections--;
-            connections.remove(closed);
-        });
+        FrameConnection made = new FrameConnection(shared, this::mayCheck, connections::remove, () -> shared.connections--);
         shared.connections++;
         connections.add(made);
         made.connect(entry.host(), entry.port());
@@ -163,21 +165,27 @@
         state = told;
         if (told != ServerState.READY) {
             List.copyOf(connections).forEach(FrameConnection::dropWaiting);
+            closeWriting();
         }
         if (told == ServerState.GONE) {
             List.copyOf(connections).forEach(FrameConnection::closeWhenIdle);
         }
     }
 
-    /** What is not whole in the kernel's hands by now would reach the store later. */
     @Override
     public void barred(boolean out) {
         barred = out;
         if (out) {
-            List.copyOf(connections).stream().filter(c -> !c.isOpen() || c.isWriting()).forEach(FrameConnection::close);
+            List.copyOf(connections).stream().filter(c -> !c.isOpen()).forEach(FrameConnection::close);
+            closeWriting();
         }
     }
 
+    /** What is not whole in the kernel's hands by now would reach the store later. */
+    private void closeWriting() {
+        List.copyOf(connections).stream().filter(FrameConnection::isWriting).forEach(FrameConnection::close);
+    }
+
     @Override
     public boolean idle() {
         return connections.stream().allMatch(FrameConnection::isIdle);
