A Flight call that nobody waits for is not made once its thread is about to make it

Read: FlightCall.run and FlightFirst.run asked only whether the store is barred or withdrawn. A part that was given up or taken back, whose time or repeat window had passed, or whose store had gone left all the same if its thread had not made the call yet; and a channel that was down again would have kept the call until it is up. They now ask for each part just before the call is made, and what does not leave ends as one that never ran.

--- a/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightCall.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.apache.arrow.flight.FlightClient;
@@ -35,14 +36,15 @@
     private final FlightClient client;
     private final BooleanSupplier barred;
     private final Consumer<Event.AttemptOver> over;
-    private final byte[] ticket;
-    private final int tries;
+    private final List<PartSend> parts;
     private final long sentUs;
     private final long dueUs;
     /** Parts without their row; only the loop touches it. */
     private final Map<String, Long> open = new HashMap<>();
     /** Parts that had their row, or were given up; only the loop touches it. */
     private final Set<String> behind = new HashSet<>();
+    /** Attempts that leave no more if they have not yet; read by the thread that makes the call. */
+    private final Set<Long> stopped = ConcurrentHashMap.newKeySet();
     private volatile FlightStream stream;
     private volatile boolean cancelled;
 
@@ -52,9 +54,8 @@
         this.client = client;
         this.barred = barred;
         this.over = over;
-        tries = parts.size();
+        this.parts = List.copyOf(parts);
         sentUs = shared.nowUs();
-        ticket = CallText.of(parts, sentUs);
         dueUs = parts.stream().mapToLong(PartSend::dueUs).max().orElseThrow();
         parts.forEach(p -> open.put(p.partId(), p.attempt()));
     }
@@ -65,6 +66,7 @@
 
     /** Returns the id of the part; the stream goes with its last. */
     String giveUp(long attempt) {
+        stop(attempt);
         String id = open.entrySet().stream().filter(e -> e.getValue() == attempt).map(Map.Entry::getKey).findFirst()
                 .orElse("");
         open.remove(id);
@@ -75,6 +77,11 @@
         return id;
     }
 
+    /** The attempt ends, as one that never ran, if its call has not been made yet. */
+    void stop(long attempt) {
+        stopped.add(attempt);
+    }
+
     /** Nothing comes from there any more: what has no row by now may have run. */
     void lost() {
         cancel();
@@ -91,13 +98,19 @@
 
     @Override
     public void run() {
-        if (barred.getAsBoolean()) {
-            shared.onLoop(() -> ended(Outcome.CONNECT_FAILED)); // it never left
+        long now = shared.nowUs();
+        boolean mayLeave = !cancelled && !barred.getAsBoolean();
+        List<PartSend> leaving = parts.stream().filter(p -> mayLeave && p.mayLeave(now) && !stopped.contains(p.attempt())).toList();
+        if (leaving.size() < parts.size()) {
+            List<PartSend> others = parts.stream().filter(p -> !leaving.contains(p)).toList();
+            shared.onLoop(() -> neverLeft(others));
+        }
+        if (leaving.isEmpty()) {
             return;
         }
         try {
-            FlightStream made = client.getStream(new Ticket(ticket), FlightTransport.until(dueUs, shared.nowUs()));
-            shared.onLoop(() -> shared.events().accept(new Event.TriesWritten(tries)));
+            FlightStream made = client.getStream(new Ticket(CallText.of(leaving, now)), FlightTransport.until(dueUs, now));
+            shared.onLoop(() -> shared.events().accept(new Event.TriesWritten(leaving.size())));
             read(made);
         } catch (RuntimeException e) {
             // the stream was cut, cancelled or never began: what has no row by now may have run
@@ -162,6 +175,11 @@
         }
     }
 
+    private void neverLeft(List<PartSend> others) {
+        others.stream().filter(p -> open.remove(p.partId()) != null)
+                .forEach(p -> over.accept(Event.AttemptOver.of(p.attempt(), Outcome.CONNECT_FAILED)));
+    }
+
     private void ended(Outcome outcome) {
         List<Long> lost = List.copyOf(open.values());
         open.clear();
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightFirst.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightFirst.java
@@ -25,6 +25,7 @@
     private final Consumer<Event.AttemptOver> over;
     private final Consumer<Event.FirstCame> came;
     private final PartSend part;
+    private volatile boolean stopped;
 
     FlightFirst(FlightStores shared, FlightClient client, PartSend part, BooleanSupplier barred,
             Consumer<Event.AttemptOver> over, Consumer<Event.FirstCame> came) {
@@ -36,14 +37,19 @@
         this.came = came;
     }
 
+    /** It leaves no more if it has not yet. */
+    void stop() {
+        stopped = true;
+    }
+
     @Override
     public void run() {
-        if (barred.getAsBoolean()) {
+        long now = shared.nowUs();
+        if (stopped || barred.getAsBoolean() || !part.mayLeave(now)) {
             end(Outcome.CONNECT_FAILED); // it never left
             return;
         }
         try {
-            long now = shared.nowUs();
             FlightInfo info = client.getInfo(FlightDescriptor.command(CallText.of(List.of(part), now)),
                     FlightTransport.until(part.dueUs(), now));
             shared.onLoop(() -> shared.events().accept(new Event.TriesWritten(1)));
--- a/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
+++ b/src/main/java/dunlinhitch/dispatch/flight/FlightTransport.java
@@ -44,7 +44,7 @@
     private final FlightClient client;
     private final Map<Long, FlightCall> out = new HashMap<>();
     /** First passes that are waited for. */
-    private final Set<Long> firsts = new java.util.HashSet<>();
+    private final Map<Long, FlightFirst> firsts = new HashMap<>();
     private final List<List<PartSend>> waiting = new ArrayList<>();
     private volatile ServerState state = ServerState.READY;
     private long connectRound;
@@ -121,7 +121,7 @@
             parts.forEach(this::beginFirst);
             return;
         }
-        FlightCall call = new FlightCall(shared, client, parts, () -> barred || state == ServerState.WITHDRAWN, this::over);
+        FlightCall call = new FlightCall(shared, client, parts, this::mayNot, this::over);
         parts.forEach(p -> out.put(p.attempt(), call));
         watch();
         try {
@@ -131,20 +131,25 @@
         }
     }
 
+    /** Asked by the threads that make the calls, just before: a channel that is down again would keep a call until it is up. */
+    private boolean mayNot() {
+        return barred || state == ServerState.WITHDRAWN || state == ServerState.GONE || channel.getState(false) != ConnectivityState.READY;
+    }
+
     /** The word whether there is anything. */
     private void beginFirst(PartSend part) {
-        firsts.add(part.attempt());
-        FlightFirst first = new FlightFirst(shared, client, part, () -> barred || state == ServerState.WITHDRAWN, end -> {
-            if (firsts.contains(end.attempt())) {
+        FlightFirst first = new FlightFirst(shared, client, part, this::mayNot, end -> {
+            if (firsts.containsKey(end.attempt())) {
                 over(end);
             }
         }, came -> {
-            if (firsts.remove(came.attempt())) { // else it was given up
+            if (firsts.remove(came.attempt()) != null) { // else it was given up
                 heardUs = shared.nowUs();
                 shared.events().accept(came);
                 leaveWhenIdle();
             }
         });
+        firsts.put(part.attempt(), first);
         try {
             shared.readers().execute(first);
         } catch (RejectedExecutionException e) {
@@ -174,7 +179,9 @@
                 return true;
             }
         }
-        if (firsts.remove(attempt)) {
+        FlightFirst first = firsts.remove(attempt);
+        if (first != null) {
+            first.stop();
             leaveWhenIdle();
             return true; // it ends by its own deadline; a read costs little
         }
@@ -199,6 +206,11 @@
                 return;
             }
         }
+        if (out.containsKey(attempt)) {
+            out.get(attempt).stop(attempt);
+        } else if (firsts.containsKey(attempt)) {
+            firsts.get(attempt).stop();
+        }
     }
 
     @Override
