A test of a departed client from its socket to a store's connection that comes up late

The store's queue of connections is full, so that the broker's stays pending; the client leaves while its part waits for it, another asks, and only then is the connection taken: the first call on it has to be the second client's.

--- /dev/null
+++ b/src/test/java/dunlinhitch/DepartedClientTest.java
@@ -0,0 +1,122 @@
+package dunlinhitch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dunlinhitch.decide.Routing.Limits;
+import dunlinhitch.decide.Routing.QueryClass;
+import dunlinhitch.decide.Routing.Repeat;
+import dunlinhitch.decide.Routing.Settings;
+import dunlinhitch.lab.standin.Client;
+import dunlinhitch.lab.standin.Client.Got;
+import dunlinhitch.lab.standin.FrameStore;
+import dunlinhitch.lab.standin.Stage;
+import dunlinhitch.lab.standin.Store;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A client that leaves while its part waits for a connection that comes up late: the whole way, from its socket to the store's. */
+class DepartedClientTest {
+    /** A store that takes connections when the script does; until then its queue of them is full, and a new one stays pending. */
+    private static final class LateStore extends Store implements AutoCloseable {
+        private final ServerSocket listening = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> ahead = List.of(filler(), filler());
+
+        LateStore() throws Exception {
+            super("s-0");
+        }
+
+        private Socket filler() throws Exception {
+            return new Socket(InetAddress.getLoopbackAddress(), listening.getLocalPort());
+        }
+
+        Socket accept() throws Exception {
+            for (int i = 0; i < ahead.size(); i++) {
+                listening.accept().close();
+            }
+            return listening.accept();
+        }
+
+        @Override
+        public int port() {
+            return listening.getLocalPort();
+        }
+
+        @Override
+        public String protocol() {
+            return "frames";
+        }
+
+        @Override
+        public void close() throws IOException {
+            listening.close();
+            for (Socket socket : ahead) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Times so long that a connection which the system tries again after seconds is still waited for. */
+    private static Settings patient(boolean mayCancel) {
+        Settings s = Stage.settings(300);
+        Limits l = s.limits();
+        QueryClass kind = new QueryClass("free-search", 20_000_000, 0, 25_000_000, Repeat.FREE, 0.1, 0, 3, false, 0, 1, 1, 1);
+        return new Settings(s.aggregators(), s.zones(), s.zone(), s.tickUs(), List.of(kind), s.tenants(), s.overShareWorth(), s.layout(),
+                new Limits(l.maxAttempts(), l.mostHeld(), mayCancel, false, l.parallelTries(), l.retryAfter(), l.maxRetryAfterUs(),
+                        20_000_000, l.streamsPerConnection(), l.connectionIdleUs()), s.rules(), s.prices(), s.mustAskForList(),
+                s.reportsInAnswers(), s.reportsInProbes(), s.reportFields(), s.marksRepeats());
+    }
+
+    private static void until(BooleanSupplier holds) {
+        long end = System.nanoTime() + 10_000_000_000L;
+        while (!holds.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "it never came to be");
+            Thread.onSpinWait();
+        }
+    }
+
+    private static CompletableFuture<Got> ask(Client client, String id) {
+        return client.ask("free-search", Map.of("X-Trace-Id", id, "X-Expires-In", "25"), Client.body(0));
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void itsPartDoesNotLeaveWhenTheConnectionIsUp(boolean mayCancel) throws Exception {
+        Stage stage = new Stage();
+        try (LateStore store = new LateStore()) {
+            stage.list(store);
+            stage.start(patient(mayCancel), null);
+            Client client = Client.http(stage.httpPort);
+            until(() -> stage.count("roster_news") > 0);
+            CompletableFuture<Got> left = ask(client, "q1");
+            until(() -> stage.count("attempts_sent") == 1);
+            left.cancel(true);
+            until(() -> stage.count("client_left") == 1);
+            CompletableFuture<Got> stays = ask(client, "q2");
+            until(() -> stage.count("attempts_sent") == 2);
+            try (Socket taken = store.accept()) {
+                taken.setSoTimeout(10_000);
+                DataInputStream in = new DataInputStream(taken.getInputStream());
+                byte[] frame = in.readNBytes(Integer.reverseBytes(in.readInt()));
+                assertEquals("mq2.0 ", new String(frame, 0, 6, StandardCharsets.US_ASCII));
+                taken.getOutputStream().write(FrameStore.frame('q', "q2.0 good 1 -\nv").getBytes());
+                assertEquals("whole", stays.get(10, TimeUnit.SECONDS).end());
+                assertEquals(1, stage.count("attempts_written"));
+            }
+            client.close();
+        } finally {
+            stage.close();
+        }
+    }
+}
