What is read after the reducer has finished is turned away, and the end cuts what was open

Read: after Effect.Finished Loop.wake returned at once (its flag `ended`), so a query whose body came whole later, on a connection that was still held open, never had a turn. One turn that was due before may still have taken the first such event, so it was not lost every time. Now only WakeAt is passed over then, and a finished Reducer does nothing but turn queries away and count. EndNamed cut only what came after it: a query of a long class, taken just before SIGTERM, was due after SIGKILL. It holds for what is open as well.

--- a/src/main/java/dunlinhitch/Loop.java
+++ b/src/main/java/dunlinhitch/Loop.java
@@ -58,7 +58,7 @@
 
     /** Sees to it that a turn begins at that time at the latest. */
     private void wake(long dueUs) {
-        if (ended || dueUs >= wakeUs) {
+        if (dueUs >= wakeUs) {
             return;
         }
         wakeUs = dueUs;
@@ -99,10 +99,12 @@
     /** A fault at one edge must not keep the other effects of the turn from being carried out. */
     private void carryOut(Effect effect) {
         if (effect instanceof Effect.WakeAt e) {
-            wake(Math.max(e.dueUs(), lastTurnUs + tickUs.getAsLong()));
+            if (!ended) { // else nothing is due any more: no timer is to keep this alive
+                wake(Math.max(e.dueUs(), lastTurnUs + tickUs.getAsLong()));
+            }
             return;
         }
-        ended |= effect instanceof Effect.Finished; // nothing is due any more: no timer is to keep this alive
+        ended |= effect instanceof Effect.Finished; // events still have their turn: a front may read on until it is closed
         try {
             edges.accept(effect);
         } catch (RuntimeException e) {
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -106,7 +106,7 @@
     record SiblingServes(long untilUs) implements Event {
     }
 
-    /** The process is to end: whatever is taken from now on has its answer by then. */
+    /** The process is to end: whatever was taken, and is taken from now on, has its answer by then. */
     record EndNamed(long dueUs) implements Event {
     }
 
--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -163,6 +163,10 @@
     public List<Effect> turn(long nowUs, long heardSinceUs, List<Event> events) {
         now = Math.max(now, nowUs);
         heardUs = Math.min(now, heardSinceUs);
+        if (finished) { // nothing is decided or due any more, but whatever a front still reads has a final answer
+            events.stream().filter(event -> event instanceof Event.QueryTaken || event instanceof Event.Noted).forEach(this::take);
+            return asked();
+        }
         List<Owed> ripe = owed.stream().filter(o -> o.atUs() <= now).toList();
         owed.removeAll(ripe);
         ripe.forEach(o -> tell(o.event()));
@@ -187,6 +191,10 @@
             finished = true;
             effects.add(new Effect.Finished());
         }
+        return asked();
+    }
+
+    private List<Effect> asked() {
         List<Effect> asked = effects;
         effects = new ArrayList<>();
         return asked;
@@ -245,6 +253,8 @@
             due(siblingUs, DueKind.ALONE, siblingUs);
         } else if (event instanceof Event.EndNamed e) {
             endUs = e.dueUs();
+            // what was taken before and may last longer has its answer by then too
+            tables.queries.values().stream().filter(q -> q.ask.deadlineUs() > endUs).forEach(q -> due(endUs, DueKind.QUERY, q.number));
         } else if (event instanceof Event.StopAsked) {
             stopping = true;
             if (fleet != null) {
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -430,6 +430,16 @@
         assertEquals(0, sendsTo(silent.turn(now, List.of(new Event.RosterHeard(), query(1, 0, 1), drains)), 1), "told in the silence");
     }
 
+    /** Taken just before SIGTERM, with a deadline after SIGKILL: it was answered only at its own deadline, and so never. */
+    @Test
+    void whatWasOpenBeforeTheEndWasNamedIsAnsweredBeforeIt() {
+        stores();
+        turn(query(1, 1, 1));
+        turn(new Event.EndNamed(now + SECOND / 2));
+        run(SECOND / 2 + 5_000);
+        assertTrue(answer(1) instanceof Answer.OutOfTime, "answer: " + answer(1));
+    }
+
     @Test
     void theEndWaitsForWhatIsOpenAndTakesNothingNew() {
         stores();
