A front ends by a state machine, and every close of a client's connection lingers

Read: server.shutdown(5 s) waits for a client that holds half a request, past SIGKILL, and drops each request whose head it reads meanwhile without an answer (Http1xServerConnection.handleMessage releases it); it closes at once what has a request unread in its socket, and the listener closes over whoever is connected and waits in its queue. Every close of ours was one over unread bytes. Links closed what was idle or silent by its timer though a request had come unread. Vert.x goes on to a request that was read behind one that ended its connection (responseComplete calls handleNext first), and stops reading at eight messages behind a request that waits, so that nobody saw that its client had left. An answer that nobody took was held for ever.

intake.GracefulShutdown (pure) now says what closes when: rested connections first, by a last read that found nothing, the listener behind them when its queue is empty, those it let in last are heard and refused, half a request is refused, and all is over by an absolute deadline that Broker.stop sets before SIGKILL. LingeringClose stands first in each client's pipeline: write all, shut down the output, read and discard for 1 s or 256 KiB. ReadAhead reads on where Vert.x does not, 64 KiB at most.

Failed with src/main as it was: HttpFrontTest.whoeverHoldsItsRequestBackIsRefusedAtTheEndAndHoldsNothingUp, whatNeverEndsIsClosedInTime (now asks for the 503), aClientThatLeavesBehindALotThatItSentIsSeenToLeave.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -46,6 +46,11 @@
     private static final long LONGEST_US = 3_000_000;
     /** The last answer is written so long before that. */
     private static final long ROOM_US = 250_000;
+    /** The end of the fronts takes so long at the most, and is over so long before that. */
+    private static final long CLOSE_US = 1_000_000;
+    private static final long CLOSE_ROOM_US = 100_000;
+    /** The same where nobody can be crossing it. */
+    private static final long CLOSE_AT_ONCE_US = 300_000;
     /** What crosses the closing of its connection comes so soon, if the listener is still there. */
     private static final long CROSSING_US = 150_000;
     /** A list from before the start will do if discovery says nothing for so long. */
@@ -91,6 +96,8 @@
     private int flightPort;
     private boolean warm;
     private boolean ending;
+    /** When the process has to be over; 0: nobody said. */
+    private long overUs;
     private Supplier<Config> reread;
     private long writtenMs;
 
@@ -258,6 +265,8 @@
         long longestUs = Math.min(LONGEST_US, reducer.settings().classes().stream()
                 .mapToLong(kind -> kind.deadlineUs()).max().orElseThrow());
         loop.accept(new Event.EndNamed(now + GRACE_US + longestUs - ROOM_US));
+        overUs = now + GRACE_US + longestUs - CLOSE_ROOM_US;
+        vertx.setTimer(MicroClock.timerMs(now, overUs), t -> ended.tryComplete()); // whoever holds what
         if (shared) {
             loop.accept(new Event.SiblingServes(Long.MAX_VALUE));
             http.leaveToSibling();
@@ -346,13 +355,15 @@
             log.accept(e.text());
         } else if (effect instanceof Effect.Finished) {
             sources.forEach(Source::stop);
-            Future.join(records == null ? Future.<Void>succeededFuture() : records.close(), http.close(), flight == null ? Future.succeededFuture() : flight.close(),
+            long now = clock.getAsLong();
+            long dueUs = overUs == 0 ? now + CLOSE_AT_ONCE_US : Math.min(overUs, now + CLOSE_US);
+            Future.join(records == null ? Future.<Void>succeededFuture() : records.close(), http.close(dueUs), flight == null ? Future.succeededFuture() : flight.close(dueUs),
                     admin == null ? Future.succeededFuture() : admin.close(), peers == null ? Future.succeededFuture() : peers.close()).onComplete(done -> {
                 stores.close();
                 if (flightStores != null) {
                     flightStores.close();
                 }
-                ended.complete();
+                ended.tryComplete();
             });
         }
     }
--- a/src/main/java/dunlinhitch/intake/Front.java
+++ b/src/main/java/dunlinhitch/intake/Front.java
@@ -7,6 +7,6 @@
     /** Listens on this address only; the result is the port. */
     Future<Integer> listen(String host, int port);
 
-    /** Takes nothing new; what is open is finished. */
-    Future<Void> close();
+    /** Takes nothing new; what is open is finished, or cut at {@code dueUs}. */
+    Future<Void> close(long dueUs);
 }
--- a/src/main/java/dunlinhitch/intake/flight/FlightFront.java
+++ b/src/main/java/dunlinhitch/intake/flight/FlightFront.java
@@ -56,7 +56,6 @@
     private static final long BUFFER_BYTES = 32L << 20;
     private static final int THREADS = 2;
     private static final int MOST_CALLS = 128;
-    private static final int CLOSE_S = 5;
     private static final FlightServerMiddleware.Key<ServerHeaderMiddleware> HEADERS =
             FlightServerMiddleware.Key.of("headers");
     private final Vertx vertx;
@@ -111,13 +110,13 @@
 
     /** Takes no new calls and waits, off the loop, for those that are open. */
     @Override
-    public Future<Void> close() {
+    public Future<Void> close(long dueUs) {
         return vertx.executeBlocking(() -> {
             server.shutdown();
-            server.awaitTermination(CLOSE_S, TimeUnit.SECONDS);
+            server.awaitTermination(Math.max(0, dueUs - clock.getAsLong()), TimeUnit.MICROSECONDS);
             server.close();
             pool.shutdown();
-            pool.awaitTermination(CLOSE_S, TimeUnit.SECONDS);
+            pool.awaitTermination(Math.max(0, dueUs - clock.getAsLong()), TimeUnit.MICROSECONDS);
             allocator.close();
             return null;
         });
--- a/src/main/java/dunlinhitch/intake/http/ClientListener.java
+++ b/src/main/java/dunlinhitch/intake/http/ClientListener.java
@@ -73,6 +73,17 @@
         }
     }
 
+    /** Lets in whoever waits in its queue, for to them they are connected, and closes it then; {@code done} comes from its thread. */
+    void close(Runnable done) {
+        leaving = true;
+        if (accepting == null || handed != null) {
+            stopAccepting();
+            done.run();
+        } else {
+            accepting.eventLoop().execute(() -> accepting.letInAndClose(done));
+        }
+    }
+
     @Override
     public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
         return lending ? () -> accepting = handed == null ? new Accepting() : new Accepting(handed) : super.serverChannelFactory(domainSocket);
@@ -110,6 +121,8 @@
     }
 
     private final class Accepting extends NioServerSocketChannel {
+        private int letIn;
+
         Accepting() {
             // it is bound as any other
         }
@@ -133,9 +146,19 @@
             open.opened();
             child.closeFuture().addListener(closed -> open.closed(child));
             accepted.add(child);
+            letIn++;
             return 1;
         }
 
+        private void letInAndClose(Runnable done) {
+            int before;
+            do {
+                before = letIn;
+                unsafe().read();
+            } while (letIn > before);
+            close().addListener(closed -> done.run());
+        }
+
         private void goOn() {
             if (open() < most && !leaving) {
                 config().setAutoRead(true);
--- a/src/main/java/dunlinhitch/intake/http/HttpFront.java
+++ b/src/main/java/dunlinhitch/intake/http/HttpFront.java
@@ -9,20 +9,22 @@
 import dunlinhitch.intake.BadQueryException;
 import dunlinhitch.intake.Exchanges;
 import dunlinhitch.intake.Front;
+import dunlinhitch.intake.GracefulShutdown.Fate;
 import dunlinhitch.intake.QueryReader;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
 import java.io.IOException;
 import java.util.Locale;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -31,8 +33,9 @@
 
 /** The platform's front: HTTP/1.1, a query a POST. It reads and words; what is answered is decided elsewhere. */
 public final class HttpFront implements Front {
-    private static final int CLOSE_S = 5;
     private static final long LOOK_AFTER_MS = 200;
+    private static final long END_LOOK_MS = 10;
+    private static final String REFUSED = "refused; trying again is harmless\n";
     private final Vertx vertx;
     private final Exchanges exchanges;
     private final QueryReader reader;
@@ -46,7 +49,8 @@
     private final ClientListener listener;
     private final int mostOpen;
     private long lookAfter;
-    private boolean draining;
+    private final Promise<Void> over = Promise.promise();
+    private long endTimer = -1;
 
     /** {@code mostLinks}: connections that clients may hold at once. */
     public HttpFront(Vertx vertx, Exchanges exchanges, QueryReader reader, Consumer<Event> events,
@@ -61,7 +65,7 @@
         this.stats = stats;
         this.listener = listener;
         this.mostOpen = mostOpen;
-        links = new Links(mostLinks, clock, events);
+        links = new Links(mostLinks, mostOpen, clock, events, new End());
         HttpServerOptions options = new HttpServerOptions().setHttp2ClearTextEnabled(false).setAcceptBacklog(1024)
                 .setHandle100ContinueAutomatically(true).setPerFrameWebSocketCompressionSupported(false)
                 .setPerMessageWebSocketCompressionSupported(false);
@@ -70,9 +74,13 @@
             StrictDecoder.install(c, options);
             // without a handler Vert.x writes each reset to the log as an error
             c.exceptionHandler(e -> events.accept(new Event.Noted(e instanceof IOException ? Count.CLIENTS_RESET : Count.FAULTS)));
+            ReadAhead.install(c, () -> links.flooded(c));
             links.made(c);
         });
         server.invalidRequestHandler(request -> {
+            if (!links.asked(request)) {
+                return;
+            }
             events.accept(new Event.Noted(Count.BAD_REQUESTS));
             HttpServerRequest.DEFAULT_INVALID_REQUEST_HANDLER.handle(request);
         });
@@ -81,18 +89,23 @@
 
     @Override
     public Future<Integer> listen(String host, int port) {
-        lookAfter = vertx.setPeriodic(LOOK_AFTER_MS, t -> links.closeOverdue());
+        lookAfter = vertx.setPeriodic(LOOK_AFTER_MS, t -> look());
         return (listener == null ? server.listen(port, host)
                 : listener.lend(mostOpen, () -> server.listen(port, host)))
                 .map(HttpServer::actualPort);
     }
 
+    /** What is overdue ends. */
+    void look() {
+        links.closeOverdue();
+    }
+
     /**
      * The process is to end and another one accepts from the same socket: what is new is left to that one from now on,
      * and each connection ends by its next answer. Those that stand idle may still be asked on; {@link #drain} ends them.
      */
     public void leaveToSibling() {
-        draining = true;
+        links.leave(false);
         listener.stopAccepting();
     }
 
@@ -102,21 +115,48 @@
      * closed only with the listener, it could not.
      */
     public void drain() {
-        draining = true;
-        links.closeIdle();
+        links.leave(true);
     }
 
     @Override
-    public Future<Void> close() {
-        vertx.cancelTimer(lookAfter);
-        return server.shutdown(CLOSE_S, TimeUnit.SECONDS);
+    public Future<Void> close(long dueUs) {
+        endTimer = vertx.setPeriodic(END_LOOK_MS, t -> links.passed());
+        links.refuse(dueUs);
+        return over.future();
+    }
+
+    /** What of the end is not the connections' own. */
+    private final class End implements Links.Host {
+        @Override
+        public void refuse(HttpServerRequest request) {
+            HttpFront.this.refuse(request);
+        }
+
+        @Override
+        public void closeListener() {
+            Context loop = vertx.getOrCreateContext();
+            if (listener == null) {
+                loop.runOnContext(v -> links.listenerClosed());
+            } else {
+                listener.close(() -> loop.runOnContext(v -> links.listenerClosed()));
+            }
+        }
+
+        @Override
+        public void closed() {
+            vertx.cancelTimer(lookAfter);
+            vertx.cancelTimer(endTimer);
+            server.close().onComplete(over);
+        }
     }
 
     private void request(HttpServerRequest request) {
-        links.asked(request.connection());
+        if (!links.asked(request)) {
+            return;
+        }
         String path = request.path() == null ? "" : request.path();
         switch (path) {
-            case "/health/ready" -> page(request, ready.getAsBoolean() && !draining ? 200 : 503, "ready\n");
+            case "/health/ready" -> page(request, ready.getAsBoolean() ? 200 : 503, "ready\n");
             case "/health/live" -> page(request, 200, "live\n");
             case "/stats" -> page(request, 200, stats.get());
             default -> {
@@ -140,7 +180,7 @@
             bad(request, 405, "this page is only read");
             return;
         }
-        links.taken(request.connection());
+        links.taken(request);
         end(request, status, "text/plain", Buffer.buffer(status == 200 ? text : "not " + text), false);
     }
 
@@ -180,7 +220,14 @@
 
     private void taken(HttpServerRequest request, QueryClass kind, Buffer body) {
         long takenUs = clock.getAsLong();
-        links.taken(request.connection());
+        Fate fate = links.taken(request);
+        if (fate != Fate.SEND_ON) {
+            if (fate == Fate.REFUSE) {
+                events.accept(new Event.Noted(Count.TURNED_AWAY));
+                refuse(request);
+            }
+            return;
+        }
         try {
             long exchange = exchanges.open(reader.read(kind, request::getHeader, request.headers().getAll(QueryReader.CUSTOMER),
                     body.toString(), takenUs),
@@ -206,28 +253,33 @@
                 request.response().putHeader(HttpHeaders.RETRY_AFTER,
                         String.format(Locale.ROOT, "%.3f", refused.comeBackUs() / 1e6));
             }
-            end(request, 503, "text/plain", Buffer.buffer("refused; trying again is harmless\n"), false);
+            end(request, 503, "text/plain", Buffer.buffer(REFUSED), false);
         } else {
             boolean late = answer instanceof Answer.OutOfTime;
             end(request, late ? 504 : 500, "text/plain", Buffer.buffer(late ? "out of time\n" : "failed\n"), false);
         }
     }
 
+    private void refuse(HttpServerRequest request) {
+        end(request, 503, "text/plain", Buffer.buffer(REFUSED), true);
+    }
+
+    /** As Vert.x decides whether it closes the connection behind the answer. */
+    private static boolean keepsAlive(HttpServerRequest request) {
+        String said = String.join(",", request.headers().getAll(HttpHeaders.CONNECTION)).toLowerCase(Locale.ROOT);
+        return !said.contains("close") && (request.version() != HttpVersion.HTTP_1_0 || said.contains("keep-alive"));
+    }
+
     private void end(HttpServerRequest request, int status, String type, Buffer body, boolean last) {
         HttpServerResponse response = request.response();
-        HttpConnection connection = request.connection();
         if (response.ended() || response.closed()) {
             return;
         }
         response.setStatusCode(status).putHeader(HttpHeaders.CONTENT_TYPE, type);
-        if (last || draining) {
+        if (last || !keepsAlive(request) || links.isLast(request.connection())) {
             response.putHeader(HttpHeaders.CONNECTION, "close");
+            links.closing(request.connection());
         }
-        response.end(body).onComplete(done -> {
-            links.answered(connection);
-            if (last || draining) {
-                connection.close();
-            }
-        });
+        response.end(body).onComplete(done -> links.answered(request));
     }
 }
--- a/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontTest.java
@@ -127,7 +127,7 @@
         assertEquals(2, stage.count("queries_taken"));
     }
 
-    /** Silence, a head or a body that never ends: the connection does, within 3 s. */
+    /** Silence, a head or a body that never ends: the connection does, within 3 s; what had begun is told that it is refused. */
     @Test
     void whatNeverEndsIsClosedInTime() throws IOException {
         List<Socket> sockets = new ArrayList<>();
@@ -138,7 +138,7 @@
         }
         long from = System.nanoTime();
         for (Socket socket : sockets) {
-            untilClosed(socket);
+            assertEquals(socket == sockets.get(0) ? "" : "HTTP/1.1 503", untilClosed(socket).split(" Service")[0]);
             socket.close();
         }
         assertTrue(System.nanoTime() - from < 3_000_000_000L);
@@ -268,6 +268,61 @@
         }
     }
 
+    /** Vert.x goes on to a request that was read behind one that says Connection: close; nobody will ever see its answer. */
+    @Test
+    void whatIsPipelinedBehindTheLastRequestIsNotSentOn() throws Exception {
+        String one = query("a", 0.05, "");
+        try (Socket socket = new Socket("127.0.0.1", stage.httpPort)) {
+            socket.getOutputStream().write((query("b", 0.05, "Connection: close\r\n") + query("c", 0.05, "")).getBytes(StandardCharsets.UTF_8));
+            assertTrue(untilClosed(socket).matches("(?s)HTTP/1.1 503 (?!.*HTTP/1.1).*"));
+        }
+        assertEquals(503, status(one)); // a turn later than the one that would have taken it
+        assertEquals(2, stage.count("queries_taken"));
+    }
+
+    private static String query(String id, double seconds, String more) {
+        return post("/free-search", "X-Trace-Id: " + id + "\r\nX-Expires-In: " + seconds + "\r\n" + more + "Content-Length: "
+                + Client.body(1).getBytes(StandardCharsets.UTF_8).length + "\r\n", Client.body(1));
+    }
+
+    /** Behind a request that waits Vert.x reads a few more and then nothing: not even that the client has gone. */
+    @Test
+    void aClientThatLeavesBehindALotThatItSentIsSeenToLeave() throws Exception {
+        for (int more : List.of(1, 40, 2_000)) {
+            long left = stage.count("client_left");
+            StringBuilder text = new StringBuilder(query("first" + more, 1.0, ""));
+            for (int i = 0; i < more; i++) {
+                text.append(query("more" + more + "." + i, 1.0, ""));
+            }
+            try (Socket socket = new Socket("127.0.0.1", stage.httpPort)) {
+                socket.getOutputStream().write(text.toString().getBytes(StandardCharsets.UTF_8));
+            }
+            while (stage.count("client_left") == left && stage.count("refused") + stage.count("out_of_time") == 0) {
+                Thread.onSpinWait();
+            }
+            assertEquals(left + 1, stage.count("client_left"), more + " more");
+        }
+    }
+
+    /** Half a head, half a body and silence at the end: what had begun has its answer, all are told the end, and the broker ends. */
+    @Test
+    void whoeverHoldsItsRequestBackIsRefusedAtTheEndAndHoldsNothingUp() throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        var ended = stage.stop();
+        for (String begun : List.of("POST /free-search HTTP/1.1\r\nX-", post("/free-search", "X-Trace-Id: a\r\nContent-Length: 500\r\n", "{"), "")) {
+            sockets.add(new Socket("127.0.0.1", stage.httpPort));
+            sockets.get(sockets.size() - 1).getOutputStream().write(begun.getBytes(StandardCharsets.UTF_8));
+        }
+        for (Socket socket : sockets) {
+            assertEquals(socket == sockets.get(2) ? "" : "HTTP/1.1 503", untilClosed(socket).split(" Service")[0]);
+            assertTrue(!ended.isDone(), "it ends with its clients told");
+        }
+        ended.get(5, TimeUnit.SECONDS);
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
     /** Discovery that falls silent says nothing of it: the watch is opened again, and the list that is held stands. */
     @Test
     void aSilentWatchIsOpenedAgain() throws Exception {
