Few descriptors leave a share for the program itself, and what lingers is cut at the end

With limits.sockets at its least (64) clients were let in until 37 and stores may take 16, which leaves 11: the program alone has 12 open (three streams, its module file and jar, two selectors, the listener), so a new call to discovery had none. Counted in /proc with idle clients in every place: 49, and with the stores' share 64. Now 24 are kept back; from 144 on nothing changes. With a shared listener as many connections were accepted as links were held, so that nobody was ever crowded out; now a seventh of what is accepted is there to be closed, as without one. Connections that linger when the front is over are cut.

MainTest.idleClientsThatTakeEveryDescriptorLeaveThoseOfDiscoveryAndStores failed with Broker as it was (49 held).

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -57,17 +57,18 @@
     private static final long KNOWN_WILL_DO_US = 1_000_000;
     /** Where the ids of stores that are out by hand are kept, in the shared folder. */
     private static final String BANS = "stores-out";
-    /** Of the descriptors: clients with queries hold a third at most, and others are let in until it is half. */
-    private static final int CLIENTS_PART = 2;
-    /** Accepted and not closed, when the loop is behind with what it lets in. */
+    /** Of the descriptors: accepted and not closed, when the loop is behind with what it lets in. */
     private static final int MOST_OPEN_TWELFTHS = 7;
-    /** Connections to stores; the last quarter is the program's own. */
+    /** Connections to stores. */
     private static final int STORES_PART = 4;
+    /** What the program has open itself, with its calls to discovery: no share of few descriptors may take that. */
+    private static final int OWN_SOCKETS = 24;
+    /** Of what is accepted so much is to be closed by the loop, or lingers. */
+    private static final int LET_IN_TO_CLOSE_PART = 7;
     /**
      * Where two processes may be one broker their descriptors are counted together, and an old one is not told that a new
      * one has started until it is asked to end: so each keeps to this from the start.
      */
-    private static final int SHARED_CLIENTS_PART = 3;
     private static final int SHARED_STORES_PART = 8;
     private static final int SHARED_OPEN_TWELFTHS = 4;
     /** From its first second on a new process has the old one beside it for so long. */
@@ -123,10 +124,9 @@
         loop = new Loop(vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(reducer::settings);
-        http = new HttpFront(vertx, exchanges, queries, loop, clock,
-                () -> config.sockets() / (shared ? SHARED_CLIENTS_PART : CLIENTS_PART), this::ready,
-                () -> reducer.counters().lines(), listener,
-                config.sockets() * (shared ? SHARED_OPEN_TWELFTHS : MOST_OPEN_TWELFTHS) / 12);
+        int mostOpen = mostOpen(config.sockets());
+        http = new HttpFront(vertx, exchanges, queries, loop, clock, () -> mostOpen - mostOpen / LET_IN_TO_CLOSE_PART, this::ready,
+                () -> reducer.counters().lines(), listener, mostOpen);
         admin = config.admin() == null ? null
                 : new AdminFront(vertx, this::ready, reducer::figures, loop, clock);
         bans = new BanFolder(vertx, config.scratch() == null ? null : config.scratch().resolve(BANS),
@@ -160,6 +160,13 @@
         loop.accept(new Event.DiscoveryNamed(config.discovery().host(), config.discovery().port()));
     }
 
+    /** Descriptors that clients may take, whatever they do: what stores and the program itself need is left. */
+    private int mostOpen(int sockets) {
+        int own = shared ? sockets / 2 : sockets;
+        return Math.min(sockets * (shared ? SHARED_OPEN_TWELFTHS : MOST_OPEN_TWELFTHS) / 12,
+                Math.max(own / 4, own - sockets / (shared ? SHARED_STORES_PART : STORES_PART) - OWN_SOCKETS));
+    }
+
     private Transport open(Context context, FrameTransport.Shared frames, Reports reports, StoreEntry entry) {
         if (entry.wire() == StoreEntry.StoreWire.FRAMES) {
             return new FrameTransport(frames, entry);
--- a/src/main/java/dunlinhitch/intake/http/Links.java
+++ b/src/main/java/dunlinhitch/intake/http/Links.java
@@ -261,7 +261,14 @@
         }
     }
 
-    private record Acts(Host host) implements GracefulShutdown.Acts<Link> {
+    private final class Acts implements GracefulShutdown.Acts<Link> {
+        private final Host host;
+
+        Acts(Host host) {
+            this.host = host;
+        }
+
+
         @Override
         public void readOnce(Link link) {
             link.edge.readOnce();
@@ -288,6 +295,7 @@
 
         @Override
         public void closed() {
+            List.copyOf(lingering).forEach(link -> link.edge.cut());
             host.closed();
         }
     }
--- a/src/test/java/dunlinhitch/MainTest.java
+++ b/src/test/java/dunlinhitch/MainTest.java
@@ -6,12 +6,16 @@
 
 import dunlinhitch.lab.dns.Responder;
 import dunlinhitch.lab.dns.Zone;
+import dunlinhitch.lab.standin.Client;
 import dunlinhitch.lab.standin.Discovery;
+import dunlinhitch.lab.standin.FrameStore;
 import io.vertx.core.Vertx;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -203,6 +207,76 @@
         }
     }
 
+    private static String target(Path link) {
+        try {
+            return Files.readSymbolicLink(link).toString();
+        } catch (IOException closed) {
+            return ".jar";
+        }
+    }
+
+    /**
+     * While discovery is down clients that say nothing take every descriptor that they can, and come again whenever one is closed.
+     * What is left is enough to hear of a store, to connect to it and to serve a query; the process has no more than it is told.
+     */
+    @Test
+    void idleClientsThatTakeEveryDescriptorLeaveThoseOfDiscoveryAndStores() throws Exception {
+        org.junit.jupiter.api.Assumptions.assumeTrue(Files.isDirectory(Path.of("/proc/self/fd")), "descriptors are read in /proc");
+        Vertx vertx = Vertx.vertx();
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        FrameStore store = new FrameStore(vertx, "s");
+        Path file = dir.resolve("config.json");
+        Files.writeString(file, "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + port
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":64},\"settings\":{\"FailureDomains\":[\"a\"],\"Classes\":[{\"Name\":\"a\","
+                + "\"DeadlineUs\":1000000}],\"Limits\":{\"ConnectTimeoutUs\":250000,\"StreamsPerConn\":32}}}");
+        Process broker = new ProcessBuilder("/bin/sh", "-c", "ulimit -n 200; exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp", System.getProperty("java.class.path"),
+                "dunlinhitch.Main", "serve", "--config", file.toString()).redirectErrorStream(true).start();
+        List<Socket> crowd = new ArrayList<>();
+        try (var reader = broker.inputReader()) {
+            List<String> lines = read(reader, "n1 listens");
+            String listens = lines.get(lines.size() - 1);
+            int clients = Integer.parseInt(listens.substring(listens.lastIndexOf(':') + 1));
+            for (int i = 0; i < 300; i++) {
+                crowd.add(new Socket("127.0.0.1", clients));
+            }
+            try (Discovery discovery = new Discovery(vertx, port)) {
+                discovery.list(Discovery.entry(store, "a", 0, "ready"));
+                assertTrue(discovery.asked.poll(10, TimeUnit.SECONDS) != null, "discovery is reached");
+                String body = Client.body(0);
+                String said = "";
+                for (int i = 0; i < 40 && !said.startsWith("HTTP/1.1 200"); i++) {
+                    try (Socket socket = new Socket("127.0.0.1", clients)) {
+                        crowd.add(new Socket("127.0.0.1", clients));
+                        socket.setSoTimeout(10_000);
+                        socket.getOutputStream().write(("POST /a HTTP/1.1\r\nHost: x\r\nX-Trace-Id: q" + i + "\r\nConnection: close\r\nContent-Length: "
+                                + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
+                        said = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                    }
+                }
+                assertTrue(said.startsWith("HTTP/1.1 200"), "it ends with " + said);
+                try (var open = Files.list(Path.of("/proc", Long.toString(broker.pid()), "fd"))) { // the program is one jar, here it is many
+                    long held = 1 + open.filter(fd -> !target(fd).endsWith(".jar")).count();
+                    assertTrue(held >= 24 && held + 64 / 4 + 8 <= 64, "with all of the stores' share and some calls of discovery and operators: " + held);
+                }
+            }
+            broker.toHandle().destroy();
+            lines.addAll(read(reader, "faults"));
+            assertFalse(lines.stream().anyMatch(line -> line.contains("Too many open files")), lines.toString());
+            assertTrue(lines.contains("faults 0"), lines.toString());
+        } finally {
+            broker.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+            for (Socket socket : crowd) {
+                socket.close();
+            }
+            store.close();
+            vertx.close();
+        }
+    }
+
     private static void hangUp(Process broker) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(broker.pid())).start().waitFor());
     }
--- a/src/test/java/dunlinhitch/intake/http/HttpFrontOnAClockTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontOnAClockTest.java
@@ -174,6 +174,20 @@
         assertTrue(events.stream().noneMatch(e -> e instanceof Event.QueryTaken), events.toString());
     }
 
+    /** Vert.x goes on to the next request in the turn in which an answer is ended, though that answer said that it is the last. */
+    @Test
+    void whatIsPipelinedBehindTheLastAnswerIsNotTaken() throws Exception {
+        atOnce(() -> { }, 0, front::drain);
+        try (Socket socket = connect()) {
+            write(socket, post("a") + post("b"));
+            assertTrue(events.poll(5, TimeUnit.SECONDS) instanceof Event.QueryTaken);
+            atOnce(() -> { }, 0, () -> exchanges.reply(1, new Answer.Refused(0)));
+            assertTrue(answer(socket).startsWith("HTTP/1.1 503 "));
+            assertEquals(-1, socket.getInputStream().read(), "one answer");
+        }
+        assertTrue(events.isEmpty(), events.toString());
+    }
+
     /** More than any client has to say: it is not read for ever. */
     @Test
     void whatIsDiscardedIsBounded() throws Exception {
