--- a/src/main/java/dunlinhitch/intake/http/Links.java
+++ b/src/main/java/dunlinhitch/intake/http/Links.java
@@ -163,6 +163,9 @@
         if (link == null || link.closing) {
             return false;
         }
+        if (link.request != null) { // it was read behind one whose answer was ended just now
+            end.answered(link, false);
+        }
         end.begun(link);
         link.request = request;
         long begunUs = link.stage == Stage.HEAD ? link.sinceUs : clock.getAsLong();
--- a/src/test/java/dunlinhitch/intake/http/HttpFrontOnAClockTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontOnAClockTest.java
@@ -174,14 +174,23 @@
         assertTrue(events.stream().noneMatch(e -> e instanceof Event.QueryTaken), events.toString());
     }
 
-    /** Vert.x goes on to the next request in the turn in which an answer is ended, though that answer said that it is the last. */
+    /** Vert.x goes on to the next request in the turn in which an answer is ended: it is served, unless that answer said that it is the last. */
     @Test
-    void whatIsPipelinedBehindTheLastAnswerIsNotTaken() throws Exception {
+    void whatIsPipelinedIsTakenUnlessItIsBehindTheLastAnswer() throws Exception {
+        try (Socket socket = connect()) {
+            write(socket, post("a") + post("b") + post("c"));
+            for (int i = 0; i < 3; i++) {
+                Event.QueryTaken taken = (Event.QueryTaken) events.poll(5, TimeUnit.SECONDS);
+                assertEquals("abc".substring(i, i + 1), taken.ask().id());
+                vertx.runOnContext(v -> exchanges.reply(taken.exchange(), new Answer.Refused(0)));
+                assertTrue(answer(socket).startsWith("HTTP/1.1 503 "));
+            }
+        }
         atOnce(() -> { }, 0, front::drain);
         try (Socket socket = connect()) {
             write(socket, post("a") + post("b"));
-            assertTrue(events.poll(5, TimeUnit.SECONDS) instanceof Event.QueryTaken);
-            atOnce(() -> { }, 0, () -> exchanges.reply(1, new Answer.Refused(0)));
+            Event.QueryTaken taken = (Event.QueryTaken) events.poll(5, TimeUnit.SECONDS);
+            atOnce(() -> { }, 0, () -> exchanges.reply(taken.exchange(), new Answer.Refused(0)));
             assertTrue(answer(socket).startsWith("HTTP/1.1 503 "));
             assertEquals(-1, socket.getInputStream().read(), "one answer");
         }
