A cold store's bucket draws a phase of its own, whatever a call's price is

Read: each broker's bucket for a cold store began at a random share of the mean work of all classes, while a call is let through at its own price, its work and the call's overhead. Lines: Policy.take and serverBarred (cold.set), coldAllows, State.Bucket. Now the bucket begins empty and draws a phase; the first call costs that share of its price, each later one all of it, paid at the send whatever becomes of it.

--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -288,16 +288,16 @@
     }
 
     /** Protects a server that has just started from being pushed over: a bucket of work that fills at this
-     * aggregator's part of what the rule allows. It is found filled to a random level: many aggregators
-     * told at one moment, or restarted, send one after the other, not all at once or none for long. May
-     * hurt when all replicas of a shard are cold: parts wait. */
+     * aggregator's part of what the rule allows, each with a phase of its own: many aggregators told at one
+     * moment, or restarted, send one after the other, not all at once or none for long. Paid at the send,
+     * whatever becomes of it. May hurt when all replicas of a shard are cold: parts wait. */
     private boolean coldAllows(Server s, Part part) {
         if (warmth(s) >= 1 || settings.rules().overloadFactor() <= 0) {
             return true;
         }
         double rate = coldRate(s);
-        double most = Math.max(rate * settings.rules().fallUs() / 2, coldWork(part)); // and as much flows in
-        return s.cold.filled(rate, most, now) >= coldWork(part);
+        double burst = rate * settings.rules().fallUs() / 2; // and as much flows in
+        return s.cold.affords(coldWork(part), rate, burst, now);
     }
 
     private double coldWork(Part part) {
@@ -317,7 +317,7 @@
         }
         double own = workOf(part) + callCost(s);
         if (warmth(s) < 1) {
-            s.cold.level -= coldWork(part);
+            s.cold.spend(coldWork(part));
         }
         Attempt a = new Attempt(part, part.attempts, s, now, own, entry(s), predicted(s, part));
         a.idle = s.out.isEmpty() && s.usedAtUs > 0 && now - s.usedAtUs > reportAgeUs;
@@ -1018,7 +1018,7 @@
             s.debtAtUs = now;
         }
         if (entry.startedUs() > s.startedUs) {
-            s.cold.set(random.nextDouble() * unitUs(), now);
+            s.cold.begin(1 - random.nextDouble(), now);
         }
         s.startedUs = Math.max(entry.startedUs(), s.backUs);
         s.zone = entry.zone();
@@ -1037,7 +1037,7 @@
             return;
         }
         s.cameBack(now);
-        s.cold.set(random.nextDouble() * unitUs(), now);
+        s.cold.begin(1 - random.nextDouble(), now);
         s.trialUs = now + (long) (random.nextDouble() * TRIAL_WITHIN_US);
     }
 
--- a/src/main/java/dunlinhitch/decide/State.java
+++ b/src/main/java/dunlinhitch/decide/State.java
@@ -79,19 +79,31 @@
         }
     }
 
-    /** What may be spent, filled up with time. */
+    /**
+     * A token bucket that carries fractions. It begins empty, and what is asked for costs first only a share of its price, the
+     * bucket's phase, and then all of it: of many buckets with phases drawn evenly, each in any short time as many let their
+     * first through as come to its rate, whatever the prices are, and from then on each lets one through a period.
+     */
     static final class Bucket {
-        double level;
+        private double level;
+        private double phase = 1;
         private long atUs;
 
-        void set(double to, long nowUs) {
-            level = to;
+        void begin(double drawn, long nowUs) {
+            level = 0;
+            phase = drawn;
             atUs = nowUs;
         }
 
-        double filled(double rate, double most, long nowUs) {
-            set(Math.min(most, level + rate * (nowUs - atUs)), nowUs);
-            return level;
+        /** Filled up to now; {@code burst}: no more than this beyond one price is ever saved. */
+        boolean affords(double price, double rate, double burst, long nowUs) {
+            level = Math.min(phase * price + Math.max(0, burst - price), level + rate * (nowUs - atUs));
+            atUs = nowUs;
+            return level >= phase * price;
+        }
+
+        void spend(double price) {
+            level -= price;
         }
     }
 
