--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -165,7 +165,6 @@
         heardUs = Math.min(now, heardSinceUs);
         List<Owed> ripe = owed.stream().filter(o -> o.atUs() <= now).toList();
         owed.removeAll(ripe);
-        ripe.forEach(o -> tell(o.event()));
         if (roster.nextUs() <= now) {
             roster.passed(now);
         }
@@ -173,6 +172,7 @@
             fleet.passed();
         }
         events.stream().filter(Reducer::aboutStores).forEach(this::take);
+        ripe.forEach(o -> tell(o.event()));
         events.stream().filter(event -> !aboutStores(event)).forEach(this::take);
         ringDue();
         attempts.flush(phases != null);
@@ -194,8 +194,8 @@
 
     /** What says which stores there are and in what state; a turn takes it first. */
     private static boolean aboutStores(Event event) {
-        return event instanceof Event.RosterNews || event instanceof Event.SourceSaid || event instanceof Event.SourceSilent
-                || event instanceof Event.SourceNamed || event instanceof Event.BarsSeen;
+        return event instanceof Event.RosterNews || event instanceof Event.RosterSilent || event instanceof Event.RosterHeard
+                || event instanceof Event.SourceSaid || event instanceof Event.SourceSilent || event instanceof Event.SourceNamed || event instanceof Event.BarsSeen;
     }
 
     private void take(Event event) {
--- a/src/main/java/dunlinhitch/roster/Watch.java
+++ b/src/main/java/dunlinhitch/roster/Watch.java
@@ -5,18 +5,22 @@
 import dunlinhitch.core.Count;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.MicroClock;
+import dunlinhitch.decide.Routing.ListKind;
 import dunlinhitch.decide.Routing.Settings;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpConnectOptions;
+import io.vertx.core.http.RequestOptions;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Follows discovery. While it is lost or silent the last list stands; the watch is opened again and says which list it had,
@@ -28,7 +32,7 @@
     private static final int CONNECT_MS = 1000;
     private static final String LIST = "/registry/instances";
     private final Vertx vertx;
-    private final HttpClient client;
+    private final HttpClientAgent client;
     private final RosterReader reader;
     private final Consumer<Event> events;
     private final LongSupplier clock;
@@ -39,13 +43,14 @@
     private long timerUs = WatchPlan.NEVER;
     private boolean answered;
 
-    public Watch(Vertx vertx, Settings settings, long seed, long knownGeneration, RosterReader reader, Consumer<Event> events,
+    /** {@code settings}: as they are now, for a new configuration may bring others. */
+    public Watch(Vertx vertx, Supplier<Settings> settings, long seed, long knownGeneration, RosterReader reader, Consumer<Event> events,
             LongSupplier clock) {
         this.vertx = vertx;
         this.reader = reader;
         this.events = events;
         this.clock = clock;
-        plan = new WatchPlan(WatchTimes.of(settings), knownGeneration, seed);
+        plan = new WatchPlan(() -> WatchTimes.of(settings.get()), knownGeneration, seed);
         client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_MS).setKeepAlive(false));
     }
 
@@ -106,7 +111,7 @@
     private final class Call {
         private final WatchPlan.Step.Ask ask;
         private final ListText text = new ListText(MOST_BYTES);
-        private HttpClientRequest request;
+        private HttpClientConnection connection;
         private long generation;
 
         Call(WatchPlan.Step.Ask ask) {
@@ -123,30 +128,39 @@
         }
 
         void close() {
-            if (request != null) {
-                request.connection().close();
+            if (connection != null) { // else it is closed when it comes up
+                connection.close();
             }
         }
 
+        /**
+         * A connection of its own, not one of a pool: a pool has five for an address, and while five calls hang it would make
+         * none of those that are to be made beside them.
+         */
         void open() {
-            String uri = ask.since() == WatchPlan.NONE_YET ? LIST : LIST + "?follow=1&since=" + ask.since();
-            client.request(HttpMethod.GET, ask.port(), ask.host(), uri).onComplete(made -> {
+            client.connect(new HttpConnectOptions().setHost(ask.host()).setPort(ask.port()).setConnectTimeout(CONNECT_MS)).onComplete(made -> {
                 if (made.failed()) {
                     lost();
                     return;
                 }
-                request = made.result();
+                connection = made.result();
                 // without a handler Vert.x writes each reset to the log as an error
-                request.connection().exceptionHandler(e -> lost());
+                connection.exceptionHandler(e -> lost());
                 if (!isHeard()) {
                     close();
                     return;
                 }
-                request.exceptionHandler(e -> lost());
-                request.send().onSuccess(this::listen).onFailure(e -> lost());
+                String uri = ask.since() == WatchPlan.NONE_YET ? LIST : LIST + "?follow=1&since=" + ask.since();
+                connection.request(new RequestOptions().setHost(ask.host()).setPort(ask.port()).setURI(uri))
+                        .onSuccess(this::send).onFailure(e -> lost());
             });
         }
 
+        private void send(HttpClientRequest request) {
+            request.exceptionHandler(e -> lost());
+            request.send().onSuccess(this::listen).onFailure(e -> lost());
+        }
+
         private void listen(HttpClientResponse response) {
             if (response.statusCode() != 200) {
                 lost();
@@ -170,6 +184,7 @@
                         take(Json.parse(list).asObject());
                     }
                 }
+                text.check();
             } catch (ListText.SpoiltException | RuntimeException e) { // what it held is missing: it is asked for again
                 events.accept(new Event.Noted(Count.BAD_ROSTER_ENTRIES));
                 lost();
@@ -178,7 +193,13 @@
 
         private void take(JsonObject list) {
             Event.RosterNews news = reader.read(list, false);
-            generation = list.getLong("generation", generation);
+            long numbered = list.getLong("generation", generation);
+            if (!plan.fits(ask.call(), numbered, news.kind() == ListKind.FULL)) {
+                events.accept(new Event.Noted(Count.BAD_ROSTER_ENTRIES));
+                carryOut(plan.misfit(clock.getAsLong(), ask.call()));
+                return;
+            }
+            generation = numbered;
             answered = true;
             events.accept(news);
             events.accept(new Event.RosterNumbered(generation));
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -21,8 +21,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** The reducer on a made clock: what comes in, what it asks for. */
 class ReducerTest {
@@ -227,6 +230,120 @@
         assertEquals(List.of(), of(Effect.GiveUp.class));
     }
 
+    /**
+     * Where attempts can not be cancelled a part that had not left when its client went, or its query was answered, left all the
+     * same: it is taken back, and no store is told of what has left.
+     */
+    @Test
+    void whatHasNotLeftIsTakenBackWhereNothingMayBeCancelled() {
+        Reducer strict = uncancelled();
+        effects.addAll(strict.turn(now, List.of(query(1, 1, 4), new Event.ClientLeft(1))));
+        assertEquals(List.of(), of(SendCall.class));
+        List<Effect.PartSend> sent = partsOf(strict.turn(now, List.of(query(2, 1, 4))));
+        assertEquals(4, sent.size());
+        effects.addAll(strict.turn(now, List.of(new Event.ClientLeft(2))));
+        assertEquals(ids(sent), of(Effect.Withdraw.class).stream().map(Effect.Withdraw::attempt).collect(Collectors.toSet()));
+        assertEquals(List.of(), of(Effect.GiveUp.class));
+        effects.clear();
+        Reducer late = uncancelled();
+        List<Effect.PartSend> few = partsOf(late.turn(now, List.of(query(3, 0, 6))));
+        few.stream().limit(5).forEach(p -> late.turn(now, List.of(new Event.AttemptOver(p.attempt(), Outcome.OK, new float[0], "v"))));
+        for (long end = now + SECOND; now < end && of(Effect.Reply.class).isEmpty(); now += 5_000) {
+            effects.addAll(late.turn(now, List.of()));
+        }
+        assertTrue(answer(3) instanceof Answer.Served, "answer: " + answer(3));
+        List<Effect.PartSend> again = partsOf(effects); // the sixth was sent again once its time was over
+        assertEquals(List.of(again.get(again.size() - 1).attempt()), of(Effect.Withdraw.class).stream().map(Effect.Withdraw::attempt).toList());
+    }
+
+    private Reducer uncancelled() {
+        Reducer made = new Reducer(with(Stage.settings(40), Stage.settings(40).classes(), 4, false), 7, now);
+        made.turn(now, List.of(both()));
+        return made;
+    }
+
+    private static Event both() {
+        return new Event.RosterNews(ListKind.FULL, List.of(store("a", 0, ServerState.READY), store("b", 1, ServerState.READY)));
+    }
+
+    /** Where a query stands when its client leaves; each has something that would send in the same turn or later. */
+    enum Where { NO_STORE, TURNED_AWAY, OWED, FIRST_STEP_CLOSES }
+
+    @ParameterizedTest
+    @CsvSource({"NO_STORE, true", "TURNED_AWAY, true", "OWED, true", "FIRST_STEP_CLOSES, true", "NO_STORE, false", "TURNED_AWAY, false",
+            "OWED, false", "FIRST_STEP_CLOSES, false"})
+    void nothingIsSentForAClientThatHasLeft(Where where, boolean mayCancel) {
+        Settings settings = Stage.twoSteps(40);
+        Reducer r = new Reducer(with(settings, settings.classes(), 4, mayCancel), 7, now);
+        if (where != Where.NO_STORE) {
+            r.turn(now, List.of(both()));
+        }
+        List<Event> asks = new ArrayList<>(List.of(new Event.QueryTaken(1, new QueryAsk("q1", "", settings.classes().get(2), now + 900_000,
+                false, List.of(new PartAsk(0, 0.5, 0), new PartAsk(1, 0.5, 0)), "x"))));
+        if (where == Where.OWED) {
+            asks.add(new Event.BarAsked(1, "a", true));
+        }
+        List<Effect.PartSend> sent = partsOf(r.turn(now, asks));
+        now += 5_000;
+        List<Event> last = new ArrayList<>();
+        sent.forEach(p -> last.add(where == Where.FIRST_STEP_CLOSES ? new Event.AttemptOver(p.attempt(), Outcome.OK, new float[0], "v")
+                : Event.AttemptOver.of(p.attempt(), Outcome.FULL)));
+        last.add(new Event.ClientLeft(1));
+        List<Effect> after = new ArrayList<>(r.turn(now, last));
+        after.addAll(r.turn(now, List.of(both())));
+        for (long end = now + 2 * SECOND; now < end; now += 5_000) {
+            after.addAll(r.turn(now, List.of()));
+        }
+        assertEquals(List.of(), partsOf(after));
+        assertEquals(0, r.open());
+        assertEquals(0, r.counters().get(Count.FAULTS));
+        assertEquals(where == Where.FIRST_STEP_CLOSES ? 1 : 0, r.counters().get(Count.SECOND_STEPS));
+    }
+
+    /** An answer that is read in the turn in which its time is over, or its client has left, in either order: one outcome. */
+    @Test
+    void anAttemptHasOneOutcomeWhateverComesInTheSameTurn() {
+        for (boolean answerFirst : new boolean[] {true, false}) {
+            Reducer r = new Reducer(Stage.settings(40), 7, now);
+            r.turn(now, List.of(both()));
+            long attempt = partsOf(r.turn(now, List.of(query(1, 1, 1)))).get(0).attempt();
+            now += 2 * SECOND; // the attempt's and the query's time are over as well
+            Event answered = new Event.AttemptOver(attempt, Outcome.OK, new float[0], "v");
+            Event left = new Event.ClientLeft(1);
+            List<Effect> out = r.turn(now, answerFirst ? List.of(answered, left, answered) : List.of(left, answered, answered));
+            assertEquals(answerFirst ? 1 : 0, out.stream().filter(Effect.Reply.class::isInstance).count());
+            assertEquals(answerFirst ? 0 : 1, out.stream().filter(Effect.GiveUp.class::isInstance).count());
+            assertEquals(answerFirst ? 1 : 0, r.counters().get(Count.ATTEMPTS_SERVED));
+            assertEquals(answerFirst ? 0 : 1, r.counters().get(Count.ATTEMPTS_GIVEN_UP));
+            assertEquals(0, r.counters().get(Count.ATTEMPTS_TIMED_OUT) + r.counters().get(Count.FAULTS));
+        }
+    }
+
+    private static Set<Long> ids(List<Effect.PartSend> parts) {
+        return parts.stream().map(Effect.PartSend::attempt).collect(Collectors.toSet());
+    }
+
+    /**
+     * A part that was owed to the decisions from the turn before went to a store whose drain was read in this one; one that waited
+     * for a store went to the first that came, though the next word of the same turn said that it drains.
+     */
+    @Test
+    void whatATurnSendsGoesByTheLastWordThatItHolds() {
+        stores();
+        turn(query(1, 0, 4), new Event.BarAsked(1, "a", true));
+        int b = of(Effect.StoreChanged.class).get(1).store();
+        long here = sendsTo(effects, b);
+        now += 5_000;
+        Event drains = new Event.RosterNews(ListKind.DELTA, List.of(store("b", 1, ServerState.DRAINING)));
+        effects.addAll(reducer.turn(now, now - 300_000, List.of(drains)));
+        assertTrue(here < 4, "nothing was to leave for the store that is out");
+        assertEquals(here, sendsTo(effects, b), "sent 300 ms after the store was told to drain");
+        Reducer waits = new Reducer(Stage.settings(40), 7, now);
+        waits.turn(now, List.of(query(2, 0, 2)));
+        assertEquals(List.of(), partsOf(waits.turn(now, now - 300_000, List.of(new Event.RosterNews(ListKind.FULL, List.of(
+                store("b", 1, ServerState.READY))), drains))));
+    }
+
     @Test
     void noMoreIsHeldThanTheSettingsAllow() {
         stores();
@@ -251,10 +368,13 @@
 
     /** The same settings with other classes and another number of attempts. */
     private static Settings with(List<QueryClass> classes, int attempts) {
-        Settings s = Stage.settings(40);
+        return with(Stage.settings(40), classes, attempts, true);
+    }
+
+    private static Settings with(Settings s, List<QueryClass> classes, int attempts, boolean mayCancel) {
         Limits l = s.limits();
         return new Settings(s.aggregators(), s.zones(), s.zone(), s.tickUs(), classes, s.tenants(), s.overShareWorth(),
-                s.layout(), new Limits(attempts, l.mostHeld(), l.mayCancel(), l.mayProbe(), l.parallelTries(),
+                s.layout(), new Limits(attempts, l.mostHeld(), mayCancel, l.mayProbe(), l.parallelTries(),
                         l.retryAfter(), l.maxRetryAfterUs(), l.connectTimeoutUs(), l.streamsPerConnection(),
                         l.connectionIdleUs()), s.rules(), s.prices(), s.mustAskForList(), s.reportsInAnswers(),
                 s.reportsInProbes(), s.reportFields(), s.marksRepeats());
@@ -430,6 +550,27 @@
         assertEquals(0, sendsTo(silent.turn(now, List.of(new Event.RosterHeard(), query(1, 0, 1), drains)), 1), "told in the silence");
     }
 
+    /** The silence, its end and the drain are read in one turn, for the loop was late: that leaves the drain no grace either. */
+    @Test
+    void aSilenceThatEndsInTheTurnThatTellsItCounts() {
+        Event drains = new Event.RosterNews(ListKind.DELTA, List.of(store("a", 0, ServerState.DRAINING)));
+        turn(new Event.RosterNews(ListKind.FULL, List.of(store("a", 0, ServerState.READY))));
+        List<Effect> late = reducer.turn(now, List.of(query(1, 0, 1), new Event.RosterSilent(now - 2 * SECOND), new Event.RosterHeard(), drains));
+        assertEquals(0, sendsTo(late, 1));
+    }
+
+    /** Discovery moved and the new address is silent, while the old one goes on to tell: what the new one says at last may be old. */
+    @Test
+    void newsOfTheOldAddressEndNoSilenceOfTheNewOne() {
+        Event drains = new Event.RosterNews(ListKind.FULL, List.of(store("a", 0, ServerState.DRAINING)));
+        turn(new Event.RosterNews(ListKind.FULL, List.of(store("a", 0, ServerState.READY))));
+        turn(new Event.RosterSilent(now));
+        turn(new Event.RosterNews(ListKind.DELTA, List.of(store("a", 0, ServerState.READY))));
+        run(3 * SECOND);
+        List<Effect> heard = reducer.turn(now, List.of(new Event.RosterHeard(), query(1, 0, 1), drains));
+        assertEquals(0, sendsTo(heard, 1));
+    }
+
     @Test
     void theEndWaitsForWhatIsOpenAndTakesNothingNew() {
         stores();
