--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -46,23 +46,29 @@
     private static final long LONGEST_US = 3_000_000;
     /** The last answer is written so long before that. */
     private static final long ROOM_US = 250_000;
+    /** The end of the fronts takes so long at the most, and is over so long before that. */
+    private static final long CLOSE_US = 1_000_000;
+    private static final long CLOSE_ROOM_US = 100_000;
+    /** The same where nobody can be crossing it. */
+    private static final long CLOSE_AT_ONCE_US = 300_000;
     /** What crosses the closing of its connection comes so soon, if the listener is still there. */
     private static final long CROSSING_US = 150_000;
     /** A list from before the start will do if discovery says nothing for so long. */
     private static final long KNOWN_WILL_DO_US = 1_000_000;
     /** Where the ids of stores that are out by hand are kept, in the shared folder. */
     private static final String BANS = "stores-out";
-    /** Of the descriptors: clients with queries hold a third at most, and others are let in until it is half. */
-    private static final int CLIENTS_PART = 2;
-    /** Accepted and not closed, when the loop is behind with what it lets in. */
+    /** Of the descriptors: accepted and not closed, when the loop is behind with what it lets in. */
     private static final int MOST_OPEN_TWELFTHS = 7;
-    /** Connections to stores; the last quarter is the program's own. */
+    /** Connections to stores. */
     private static final int STORES_PART = 4;
+    /** What the program has open itself, with its calls to discovery: no share of few descriptors may take that. */
+    private static final int OWN_SOCKETS = 24;
+    /** Of what is accepted so much is to be closed by the loop, or lingers. */
+    private static final int LET_IN_TO_CLOSE_PART = 7;
     /**
      * Where two processes may be one broker their descriptors are counted together, and an old one is not told that a new
      * one has started until it is asked to end: so each keeps to this from the start.
      */
-    private static final int SHARED_CLIENTS_PART = 3;
     private static final int SHARED_STORES_PART = 8;
     private static final int SHARED_OPEN_TWELFTHS = 4;
     /** From its first second on a new process has the old one beside it for so long. */
@@ -91,6 +97,8 @@
     private int flightPort;
     private boolean warm;
     private boolean ending;
+    /** When the process has to be over; 0: nobody said. */
+    private long overUs;
     private Supplier<Config> reread;
     private long writtenMs;
 
@@ -116,10 +124,9 @@
         loop = new Loop(vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::fault);
         exchanges = new Exchanges(loop);
         QueryReader queries = new QueryReader(reducer::settings);
-        http = new HttpFront(vertx, exchanges, queries, loop, clock,
-                () -> config.sockets() / (shared ? SHARED_CLIENTS_PART : CLIENTS_PART), this::ready,
-                () -> reducer.counters().lines(), listener,
-                config.sockets() * (shared ? SHARED_OPEN_TWELFTHS : MOST_OPEN_TWELFTHS) / 12);
+        int mostOpen = mostOpen(config.sockets());
+        http = new HttpFront(vertx, exchanges, queries, loop, clock, () -> mostOpen - mostOpen / LET_IN_TO_CLOSE_PART, this::ready,
+                () -> reducer.counters().lines(), listener, mostOpen);
         admin = config.admin() == null ? null
                 : new AdminFront(vertx, this::ready, reducer::figures, loop, clock);
         bans = new BanFolder(vertx, config.scratch() == null ? null : config.scratch().resolve(BANS),
@@ -153,6 +160,13 @@
         loop.accept(new Event.DiscoveryNamed(config.discovery().host(), config.discovery().port()));
     }
 
+    /** Descriptors that clients may take, whatever they do: what stores and the program itself need is left. */
+    private int mostOpen(int sockets) {
+        int own = shared ? sockets / 2 : sockets;
+        return Math.min(sockets * (shared ? SHARED_OPEN_TWELFTHS : MOST_OPEN_TWELFTHS) / 12,
+                Math.max(own / 4, own - sockets / (shared ? SHARED_STORES_PART : STORES_PART) - OWN_SOCKETS));
+    }
+
     private Transport open(Context context, FrameTransport.Shared frames, Reports reports, StoreEntry entry) {
         if (entry.wire() == StoreEntry.StoreWire.FRAMES) {
             return new FrameTransport(frames, entry);
@@ -258,6 +272,8 @@
         long longestUs = Math.min(LONGEST_US, reducer.settings().classes().stream()
                 .mapToLong(kind -> kind.deadlineUs()).max().orElseThrow());
         loop.accept(new Event.EndNamed(now + GRACE_US + longestUs - ROOM_US));
+        overUs = now + GRACE_US + longestUs - CLOSE_ROOM_US;
+        vertx.setTimer(MicroClock.timerMs(now, overUs), t -> ended.tryComplete()); // whoever holds what
         if (shared) {
             loop.accept(new Event.SiblingServes(Long.MAX_VALUE));
             http.leaveToSibling();
@@ -350,13 +366,15 @@
             log.accept(e.text());
         } else if (effect instanceof Effect.Finished) {
             sources.forEach(Source::stop);
-            Future.join(records == null ? Future.<Void>succeededFuture() : records.close(), http.close(), flight == null ? Future.succeededFuture() : flight.close(),
+            long now = clock.getAsLong();
+            long dueUs = overUs == 0 ? now + CLOSE_AT_ONCE_US : Math.min(overUs, now + CLOSE_US);
+            Future.join(records == null ? Future.<Void>succeededFuture() : records.close(), http.close(dueUs), flight == null ? Future.succeededFuture() : flight.close(dueUs),
                     admin == null ? Future.succeededFuture() : admin.close(), peers == null ? Future.succeededFuture() : peers.close()).onComplete(done -> {
                 stores.close();
                 if (flightStores != null) {
                     flightStores.close();
                 }
-                ended.complete();
+                ended.tryComplete();
             });
         }
     }
