--- a/src/main/java/dunlinhitch/lab/LabCommand.java
+++ b/src/main/java/dunlinhitch/lab/LabCommand.java
@@ -3,6 +3,7 @@
 import dunlinhitch.lab.explore.ExploreCommand;
 import dunlinhitch.lab.explore.Models;
 import dunlinhitch.lab.fleet.RigCommand;
+import dunlinhitch.lab.measure.FloorsCommand;
 import dunlinhitch.lab.measure.Measures;
 import dunlinhitch.lab.sim.SimCommands;
 import java.util.concurrent.Callable;
@@ -13,7 +14,7 @@
 /** Stand-ins, models and measurements of the product's own; never loaded by a broker that serves. */
 @Command(name = "lab", description = "Experiments and measurements on stand-ins of our own.", mixinStandardHelpOptions = true,
         subcommands = {LabCommand.Measure.class, SimCommands.Run.class, SimCommands.Search.class, SimCommands.Shrink.class,
-            SimCommands.Show.class, RigCommand.class, ExploreCommand.class})
+            SimCommands.Show.class, RigCommand.class, ExploreCommand.class, FloorsCommand.class})
 public final class LabCommand implements Callable<Integer> {
     @Override
     public Integer call() {
@@ -22,6 +23,7 @@
         System.out.println("lab explore MODEL [--depth N] [--states N]: every order of words and troubles; MODEL is one of "
                 + String.join(", ", Models.names()));
         System.out.println("lab measure NAME [--seed N] [--quick]; NAME is one of " + String.join(", ", Measures.names()));
+        System.out.println("lab floors FILE...: served against wanted, of reports of the acceptance bench");
         return 0;
     }
 
