SIGHUP is heeded from the first line of main on and kept until there is a broker

Seen: a process that got SIGHUP in the first moments of its start ended with exit code 129. Main.Serve.call registered the signal only after the configuration was read and the loop was made, and a JVM that does not heed SIGHUP ends on it; from there until the broker was made the signal was dropped without a word, though the file may have been replaced after it was read.

HangUps takes the signal before all else and keeps it; what was kept is heeded once when the broker is there, by reading the file again. The line about nohup is said as before.

Still open: SIGHUP before main, while the JVM itself starts; no line of the program runs then.

The configuration of the test is a pipe, so the order is forced: the start has it open and has read nothing when the signal comes; a second pipe at the same path is what the second reading finds.

--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -53,7 +53,14 @@
                         .setClassPathResolvingEnabled(false).setFileCachingEnabled(false))).build();
     }
 
+    /** Of this process; heeded before all else where it serves. */
+    private static final HangUps HANG_UPS = new HangUps();
+
     public static void main(String[] arguments) {
+        if (arguments.length > 0 && arguments[0].equals("serve") && !HANG_UPS.heed()) {
+            System.out.println("SIGHUP is ignored, as by nohup: the configuration will not be read again on it; start this by "
+                    + "'env --default-signal=HUP'");
+        }
         int code = arguments.length == 1 && arguments[0].equals("serve") ? serve() : commandLine(arguments).execute(arguments);
         if (code != 0 || arguments.length == 0 || !arguments[0].equals("serve")) {
             System.out.flush();
@@ -143,6 +150,7 @@
                 try {
                     broker[0] = new Broker(vertx, context, config, System.out::println, listener);
                     broker[0].rereadBy(file::again);
+                    HANG_UPS.to(() -> context.runOnContext(again -> broker[0].reload(file::again)));
                 } catch (RuntimeException | LinkageError e) {
                     fault[0] = e;
                     started.countDown();
@@ -159,15 +167,6 @@
                             started.countDown();
                         });
             });
-            boolean heeded = Signals.on("HUP", () -> context.runOnContext(v -> {
-                if (broker[0] != null) {
-                    broker[0].reload(file::again);
-                }
-            }));
-            if (!heeded) {
-                System.out.println("SIGHUP is ignored, as by nohup: the configuration will not be read again on it; start this by "
-                        + "'env --default-signal=HUP'");
-            }
             Runtime.getRuntime().addShutdownHook(new Thread(() -> finish(context, broker[0]), "finish"));
             started.await();
             if (fault[0] != null) {
--- a/src/test/java/dunlinhitch/MainTest.java
+++ b/src/test/java/dunlinhitch/MainTest.java
@@ -13,6 +13,7 @@
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -21,6 +22,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -358,4 +360,71 @@
             vertx.close();
         }
     }
+
+    /** Whatever came before there was a task is one run of it; from then on each is one. */
+    @Test
+    void hangUpsAreKeptUntilThereIsATask() {
+        HangUps hangUps = new HangUps();
+        int[] runs = {0};
+        hangUps.came();
+        hangUps.came();
+        hangUps.to(() -> runs[0]++);
+        assertEquals(1, runs[0]);
+        hangUps.came();
+        hangUps.came();
+        assertEquals(3, runs[0]);
+    }
+
+    /** A broker whose configuration is a pipe: to open it for writing waits until the broker has opened it for reading. */
+    private Process startOn(Path pipe) throws Exception {
+        assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "dunlinhitch.Main", "serve").redirectErrorStream(true);
+        builder.environment().remove("ROUTER_DISCOVERY");
+        builder.environment().put("ROUTER_CONFIG", pipe.toString());
+        return builder.start();
+    }
+
+    /** Opened once the broker reads it; fails if the broker ends before. */
+    private static OutputStream opened(Path pipe, Process broker) throws Exception {
+        CompletableFuture<OutputStream> open = CompletableFuture.supplyAsync(() -> {
+            try {
+                return Files.newOutputStream(pipe);
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        }, task -> new Thread(task).start());
+        CompletableFuture.anyOf(open, broker.onExit()).get(20, TimeUnit.SECONDS);
+        if (!open.isDone()) {
+            new java.io.RandomAccessFile(pipe.toFile(), "rw").close(); // lets go of whoever waits
+            open.get(5, TimeUnit.SECONDS).close();
+        }
+        assertTrue(broker.isAlive(), () -> "it ended: " + broker.exitValue());
+        return open.get();
+    }
+
+    /** SIGHUP comes while the start has the file open and has read nothing: it lives, reads the file once more, and follows what that says. */
+    @Test
+    void aHangUpInTheFirstMomentsOfAStartIsHeededLater() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        Path pipe = dir.resolve("config.json");
+        Process broker = startOn(pipe);
+        try (Discovery old = new Discovery(vertx); Discovery moved = new Discovery(vertx)) {
+            old.list();
+            moved.list();
+            try (OutputStream first = opened(pipe, broker)) {
+                Files.delete(pipe); // the next reading has a pipe of its own
+                assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+                hangUp(broker);
+                first.write(config(old).getBytes(StandardCharsets.UTF_8));
+            }
+            try (OutputStream second = opened(pipe, broker)) {
+                second.write(config(moved).getBytes(StandardCharsets.UTF_8));
+            }
+            assertEquals("/registry/instances", moved.asked.poll(10, TimeUnit.SECONDS));
+        } finally {
+            broker.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+            vertx.close();
+        }
+    }
 }
