A broker asked to end before it listens ends at once, and a failed start exits with 2

Seen: SIGTERM during the rehearsal was answered 2.3 to 2.6 s later, for Broker.stop held the whole grace though nobody had been taken; and Broker.start opened the listener after stop all the same, let clients in and had them refused. Whoever starts the next process waits for this one. Now stop closes at once where the listener was never asked for, and start fails from then on, also where stop comes while the shared folder is read.

Seen beside it: a start that failed (port in use) said "listens on 127.0.0.1:null", ran into the same hook, held the grace and ended with code 0, for the hook halts with 0. The hook now leaves a failed start alone: code 2, one line.

Checked and left: SIGTERM while the configuration is read ends the process within 20 ms with 143; nothing hangs there.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -55,6 +55,7 @@
     private static final long CROSSING_US = 150_000;
     /** A list from before the start will do if discovery says nothing for so long. */
     private static final long KNOWN_WILL_DO_US = 1_000_000;
+    private static final String ENDS = "it was asked to end before it listened";
     /** Where the ids of stores that are out by hand are kept, in the shared folder. */
     private static final String BANS = "stores-out";
     /** Of the descriptors: accepted and not closed, when the loop is behind with what it lets in. */
@@ -96,6 +97,8 @@
     private int port;
     private int flightPort;
     private boolean warm;
+    /** Clients may have been let in. */
+    private boolean opened;
     private boolean ending;
     /** When the process has to be over; 0: nobody said. */
     private long overUs;
@@ -211,8 +214,11 @@
                 : admin.listen(config.admin().host(), config.admin().port());
     }
 
-    /** Listens and follows discovery; the result is the port of the HTTP front. */
+    /** Listens and follows discovery; the result is the port of the HTTP front. Fails where it was asked to end before it listens. */
     public Future<Integer> start() {
+        if (ending) {
+            return Future.failedFuture(ENDS);
+        }
         vertx.exceptionHandler(this::fault);
         sources.forEach(Source::start);
         if (records != null) {
@@ -222,6 +228,10 @@
             log.accept("stores out by hand can not be kept: " + e);
             return Future.succeededFuture(false);
         }).compose(before -> {
+            if (ending) {
+                return Future.<Integer>failedFuture(ENDS);
+            }
+            opened = true;
             if (shared && before) { // the process that was here is asked to end only after this one is ready
                 loop.accept(new Event.SiblingServes(clock.getAsLong() + OVERLAP_US));
             }
@@ -262,12 +272,16 @@
      * Ends the broker. Until half of the longest deadline before its time it serves all who are connected as ever: the
      * others may be restarting too, and the next process is started no sooner if this one leaves early. Then each
      * answer closes its connection (where a sibling accepts from the same socket, from the start), and it is over when all that was taken is answered.
+     * Before it listens there is nobody to wait for, and whoever starts the next process waits for this one.
      */
     public Future<Void> stop() {
         ending = true;
         if (records != null) {
             records.ending();
         }
+        if (!opened) {
+            return close();
+        }
         long now = clock.getAsLong();
         long longestUs = Math.min(LONGEST_US, reducer.settings().classes().stream()
                 .mapToLong(kind -> kind.deadlineUs()).max().orElseThrow());
--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -160,14 +160,20 @@
                         config.listen().host(), QUERIES_TO_COMPILE, rehearsalEndUs()).run()).compose(rehearsed -> broker[0].start())
                         .onComplete(bound -> {
                             fault[0] = bound.cause();
-                            System.out.println(config.name() + " listens on " + config.listen().host() + ":"
-                                    + bound.result());
-                            config.settings().classes().forEach(kind -> System.out.println("class " + kind.name()
-                                    + ": aim " + kind.aimUs() + " us, deadline " + kind.deadlineUs() + " us"));
+                            if (bound.succeeded()) {
+                                System.out.println(config.name() + " listens on " + config.listen().host() + ":"
+                                        + bound.result());
+                                config.settings().classes().forEach(kind -> System.out.println("class " + kind.name()
+                                        + ": aim " + kind.aimUs() + " us, deadline " + kind.deadlineUs() + " us"));
+                            }
                             started.countDown();
                         });
             });
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> finish(context, broker[0]), "finish"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                if (fault[0] == null) { // else it ends by itself, with the code that says so
+                    finish(context, broker[0]);
+                }
+            }, "finish"));
             started.await();
             if (fault[0] != null) {
                 throw new Config.ConfigException("cannot serve: " + fault[0].getMessage());
--- a/src/test/java/dunlinhitch/MainTest.java
+++ b/src/test/java/dunlinhitch/MainTest.java
@@ -427,4 +427,23 @@
             vertx.close();
         }
     }
+
+    /** A start that fails ends as one: what starts processes reads the code, and "listens on 127.0.0.1:null" and code 0 came after the grace. */
+    @Test
+    void aStartThatCannotListenSaysSoByItsCode() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        try (Discovery discovery = new Discovery(vertx); ServerSocket taken = new ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"))) {
+            Path pipe = dir.resolve("config.json");
+            Process broker = startOn(pipe);
+            try (OutputStream first = opened(pipe, broker)) {
+                first.write(config(discovery).replace("127.0.0.1:0", "127.0.0.1:" + taken.getLocalPort()).getBytes(StandardCharsets.UTF_8));
+            }
+            List<String> lines = broker.inputReader().lines().toList();
+            assertEquals(2, broker.waitFor(), lines.toString());
+            assertEquals(1, lines.size(), lines.toString());
+            assertTrue(lines.get(0).startsWith("dunlinhitch: cannot serve: "), lines.toString());
+        } finally {
+            vertx.close();
+        }
+    }
 }
