A request that is read together with its client's end is not sent

Seen by a probe: while the loop stands still a client sends a request and closes. The read takes the request and stops, for it did not fill its buffer; the turn that is due runs before the next look at the socket, and sends a part for a client that has gone, however long ago that was.

Checked: the reducer sends nothing where asking and leaving share a turn (ReducerTest), so only their coming in different turns is at fault. Two things kept them apart. Netty takes a short read for the last one (AdaptiveRecvByteBufAllocator), and channelInactive, from which Vert.x tells of the close, is a task of its own behind the turn. Now a client's socket is read until it holds nothing, one more read a request, and the close future tells at once that the client has left.

--- a/src/main/java/dunlinhitch/intake/http/HttpFront.java
+++ b/src/main/java/dunlinhitch/intake/http/HttpFront.java
@@ -232,7 +232,7 @@
             long exchange = exchanges.open(reader.read(kind, request::getHeader, request.headers().getAll(QueryReader.CUSTOMER),
                     body.toString(), takenUs),
                     answer -> write(request, answer));
-            request.response().closeHandler(v -> exchanges.left(exchange));
+            links.onLeft(request, () -> exchanges.left(exchange));
         } catch (BadQueryException e) {
             bad(request, 400, e.getMessage());
         }
--- a/src/main/java/dunlinhitch/intake/http/LingeringClose.java
+++ b/src/main/java/dunlinhitch/intake/http/LingeringClose.java
@@ -35,6 +35,9 @@
         /** The broker closes it. */
         void closing();
 
+        /** Its socket is closed, whoever did that. */
+        void closed();
+
         /** How long it may linger; 0: it does not. */
         long lingerMs();
     }
@@ -62,6 +65,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
+        ctx.channel().closeFuture().addListener(closed -> watch.closed()); // channelInactive is a task of its own, behind what waits
     }
 
     /** Since when something has waited to be written and nothing was; Long.MAX_VALUE: nothing waits. */
--- a/src/main/java/dunlinhitch/intake/http/Links.java
+++ b/src/main/java/dunlinhitch/intake/http/Links.java
@@ -56,6 +56,8 @@
         private boolean first = true;
         /** What was read last and is not answered. */
         private HttpServerRequest request;
+        /** Told where the client of its last query leaves; nothing comes of it once that is answered. */
+        private Runnable left = () -> { };
         /** Its next answer is the last; {@code closing}: that was written. */
         private boolean last;
         private boolean crowded;
@@ -102,6 +104,11 @@
                 lingers(link);
             }
 
+            @Override
+            public void closed() {
+                link.left.run();
+            }
+
             @Override
             public long lingerMs() {
                 return (Math.min(LINGER_US, dueUs - clock.getAsLong()) + 999) / 1000;
@@ -185,6 +192,14 @@
         return fate == Fate.SEND_ON && link.crowded ? Fate.REFUSE : fate;
     }
 
+    /** {@code left}: for the query that was taken last; it is told in the read that finds that the client has gone. */
+    void onLeft(HttpServerRequest request, Runnable left) {
+        Link link = links.get(request.connection());
+        if (link != null) {
+            link.left = left;
+        }
+    }
+
     /** True where the answer that is written next ends its connection. */
     boolean isLast(HttpConnection connection) {
         Link link = links.get(connection);
--- a/src/main/java/dunlinhitch/intake/http/ReadAhead.java
+++ b/src/main/java/dunlinhitch/intake/http/ReadAhead.java
@@ -1,8 +1,10 @@
 package dunlinhitch.intake.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpServerConnection;
@@ -17,6 +19,8 @@
 final class ReadAhead extends ChannelDuplexHandler {
     private static final String PLACE = "readAhead";
     private static final int MOST_BYTES = 64 * 1024;
+    /** In one go, as Netty does by itself. */
+    private static final int MOST_READS = 16;
     private final Deque<Object> held = new ArrayDeque<>();
     private final Runnable flooded;
     private int bytes;
@@ -28,7 +32,12 @@
 
     /** Before the decoder, and behind what stands first. {@code flooded}: what came was too much. */
     static void install(HttpConnection connection, Runnable flooded) {
-        ((HttpServerConnection) connection).channelHandlerContext().pipeline().addFirst(PLACE, new ReadAhead(flooded));
+        ChannelPipeline pipeline = ((HttpServerConnection) connection).channelHandlerContext().pipeline();
+        pipeline.addFirst(PLACE, new ReadAhead(flooded));
+        // a read that fills no buffer is not taken for the last: behind a request that has waited stands its client's end, and the
+        // turn that would send for it comes before the next look at the socket
+        pipeline.channel().config().setRecvByteBufAllocator(
+                new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MOST_READS));
     }
 
     @Override
--- a/src/test/java/dunlinhitch/DepartedClientTest.java
+++ b/src/test/java/dunlinhitch/DepartedClientTest.java
@@ -21,8 +21,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -119,4 +121,41 @@
             stage.close();
         }
     }
+
+    /** While the loop is behind a client asks and leaves: both are read before the turn that would send for it. */
+    @Test
+    void aRequestThatIsReadTogetherWithItsClientsEndIsNotSent() throws Exception {
+        Stage stage = new Stage();
+        FrameStore store = new FrameStore(stage.vertx, "s-0");
+        try {
+            stage.list(store);
+            stage.start(patient(true), null);
+            until(() -> stage.count("roster_news") > 0);
+            CountDownLatch behind = new CountDownLatch(1);
+            CountDownLatch goOn = new CountDownLatch(1);
+            try (Socket socket = new Socket("127.0.0.1", stage.httpPort)) {
+                Client.http(stage.httpPort).ask("none", Map.of(), "").get(10, TimeUnit.SECONDS); // so both connections are made
+                stage.vertx.runOnContext(v -> {
+                    behind.countDown();
+                    try {
+                        goOn.await();
+                        Thread.sleep(20); // the next turn is due at once
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                behind.await();
+                String body = Client.body(0);
+                socket.getOutputStream().write(("POST /free-search HTTP/1.1\r\nHost: x\r\nX-Trace-Id: q\r\nX-Expires-In: 20\r\nContent-Length: "
+                        + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
+            }
+            goOn.countDown();
+            until(() -> stage.count("client_left") == 1);
+            assertEquals(0, stage.count("attempts_sent"));
+            assertEquals(1, stage.count("queries_taken"));
+        } finally {
+            store.close();
+            stage.close();
+        }
+    }
 }
