A test of clients in the listener's queue at the end of a front, over real sockets

Only the machine of the end was tested. The accepting thread waits, 18 clients connect and ask, the front is closed, and the loop waits until the listener is closed: then each has its 503 and the end of the stream, none is sent on, and the front is over with all of them told.

With ClientListener.letInAndClose cut to a close, and with one read of it only (Netty accepts 16 in one go): "Connection reset".

--- a/src/test/java/dunlinhitch/intake/http/HttpFrontOnAClockTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontOnAClockTest.java
@@ -9,12 +9,15 @@
 import dunlinhitch.intake.QueryReader;
 import dunlinhitch.lab.standin.Client;
 import dunlinhitch.lab.standin.Stage;
+import io.netty.channel.EventLoopGroup;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.internal.VertxInternal;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -36,12 +39,13 @@
 
     @BeforeEach
     void begin() throws Exception {
-        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        ClientListener listener = new ClientListener(null);
+        vertx = Vertx.builder().withTransport(listener).with(new VertxOptions().setEventLoopPoolSize(1)).build();
         io.vertx.core.Context context = vertx.getOrCreateContext();
         java.util.concurrent.CompletableFuture<Integer> bound = new java.util.concurrent.CompletableFuture<>();
         context.runOnContext(v -> {
             front = new HttpFront(vertx, exchanges, new QueryReader(() -> Stage.settings(300)), events::add, now::get, () -> 20,
-                    () -> true, () -> "", null, 24);
+                    () -> true, () -> "", listener, 24);
             front.listen("127.0.0.1", 0).onSuccess(bound::complete).onFailure(bound::completeExceptionally);
         });
         port = bound.get(5, TimeUnit.SECONDS);
@@ -212,6 +216,43 @@
         }
     }
 
+    /** Clients whom the system has connected while the thread that accepts was behind: they are let in and told, and then the listener closes. */
+    @Test
+    void whoeverWaitsInTheQueueOfTheListenerIsLetInAndTold() throws Exception {
+        EventLoopGroup acceptor = ((VertxInternal) vertx).acceptorEventLoopGroup();
+        CountDownLatch behind = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        CountDownLatch closed = new CountDownLatch(1);
+        CountDownLatch over = new CountDownLatch(1);
+        acceptor.execute(() -> {
+            behind.countDown();
+            try {
+                goOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        behind.await();
+        List<Socket> queue = new ArrayList<>();
+        for (int i = 0; i < 18; i++) { // more than Netty accepts in one go
+            queue.add(connect());
+            write(queue.get(i), post("q" + i));
+        }
+        atOnce(() -> { }, 0, () -> front.close(Long.MAX_VALUE / 2).onComplete(v -> over.countDown()));
+        acceptor.execute(closed::countDown);
+        atOnce(() -> {
+            goOn.countDown();
+            closed.await();
+        }, 0, () -> { });
+        for (Socket socket : queue) {
+            assertTrue(answer(socket).startsWith("HTTP/1.1 503 "));
+            assertEquals(-1, socket.getInputStream().read());
+            socket.close();
+        }
+        assertTrue(over.await(5, TimeUnit.SECONDS));
+        assertTrue(events.stream().noneMatch(e -> e instanceof Event.QueryTaken), events.toString());
+    }
+
     /** More than any client has to say: it is not read for ever. */
     @Test
     void whatIsDiscardedIsBounded() throws Exception {
