A call to a store ends at once where its connection failed before it was called

Without a descriptor left the socket can not be made, and Netty words that failure on a thread of its own: it may be known before the call for which the connection was opened is handed to it. The connection was closed by then, and what was given to it waited in a list at which nobody looked any more, up to the time-out of the attempt; for a class that may run once only, or where nothing may be cancelled, up to the end of the query.

Ruled out: the handler on a wrong thread (it comes on the loop), and a connection that keeps its place (the count goes down). A probe under `ulimit -n 200` with no descriptor left sees CONNECT_FAILED where the order is the other one. At fault: FrameConnection.call and probe, which took whatever came.

aCallOnAConnectionThatFailedAtOnceEnds forces the order: the connection is closed, then called and probed. On the old code: "no end came". aConnectionThatCanNotEvenBeMadeProvesThatNothingRan goes the whole way with a transport without descriptors; on the old code: "no end came" as well, at the first or second call.

--- a/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/dispatch/frames/FrameConnection.java
@@ -150,10 +150,13 @@
                 && ids.stream().noneMatch(id -> abandoned.contains(id) || out.containsKey(id));
     }
 
+    /** Where no descriptor is left a connection may have failed before it is called first: nothing would look at what waits for it. */
     void call(List<PartSend> parts) {
         usedUs = now();
         waiting.add(new ArrayList<>(parts));
-        if (socket != null) {
+        if (closed) {
+            dropWaiting();
+        } else if (socket != null) {
             writeNext();
         }
     }
@@ -234,6 +237,10 @@
 
     void probe(long id) {
         usedUs = now();
+        if (closed) {
+            shared.events.accept(new Event.ProbeOver(id, Outcome.CONNECT_FAILED, new float[0]));
+            return;
+        }
         if (socket == null) {
             waitingProbes.add(id);
             return;
--- a/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
@@ -16,9 +16,14 @@
 import dunlinhitch.lab.standin.Stage;
 import dunlinhitch.lab.standin.Store.Do;
 import com.sun.management.ThreadMXBean;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelFactory;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.impl.transports.NioTransport;
+import io.vertx.core.transport.Transport;
 import java.io.DataInputStream;
 import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
@@ -32,6 +37,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -75,14 +81,20 @@
     }
 
     private FrameTransport to(int port, int mostConnections, Limits limits) {
-        FrameTransport.Shared shared = new FrameTransport.Shared(vertx, () -> limits, () -> mostConnections,
+        return new FrameTransport(shared(vertx, mostConnections, limits), entry(port));
+    }
+
+    private FrameTransport.Shared shared(Vertx on, int mostConnections, Limits limits) {
+        return new FrameTransport.Shared(on, () -> limits, () -> mostConnections,
                 new Reports(() -> Stage.settings(100).reportFields()), clock, event -> {
                     if (event instanceof Event.AttemptOver over) {
                         ends.add(over);
                     }
                 });
-        return new FrameTransport(shared, new StoreEntry("s", "127.0.0.1", port, 0, 0, ServerState.READY, 1, 0,
-                StoreEntry.StoreWire.FRAMES));
+    }
+
+    private static StoreEntry entry(int port) {
+        return new StoreEntry("s", "127.0.0.1", port, 0, 0, ServerState.READY, 1, 0, StoreEntry.StoreWire.FRAMES);
     }
 
     private void onLoop(Runnable task) {
@@ -429,6 +441,83 @@
         assertTrue(store.givenUp.isEmpty());
     }
 
+    /** No descriptor is left (EMFILE): the call ends as one that was not connected, as after a refused connection, and holds no place. */
+    @Test
+    void aConnectionThatCanNotEvenBeMadeProvesThatNothingRan() throws Exception {
+        class Full extends NioTransport implements Transport {
+            private final AtomicInteger left = new AtomicInteger(2);
+
+            @Override
+            public ChannelFactory<? extends Channel> channelFactory(boolean domainSocket) {
+                ChannelFactory<? extends Channel> real = super.channelFactory(domainSocket);
+                return () -> {
+                    if (left.getAndDecrement() > 0) { // as the JDK's own
+                        throw new ChannelException("Failed to open a socket.", new SocketException("Too many open files"));
+                    }
+                    return real.newChannel();
+                };
+            }
+
+            @Override
+            public String name() {
+                return "full";
+            }
+
+            @Override
+            public boolean available() {
+                return true;
+            }
+
+            @Override
+            public Throwable unavailabilityCause() {
+                return null;
+            }
+
+            @Override
+            public io.vertx.core.spi.transport.Transport implementation() {
+                return this;
+            }
+        }
+
+        Vertx full = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1)).withTransport(new Full()).build();
+        try {
+            FrameTransport one = new FrameTransport(shared(full, 1, Stage.settings(100).limits()), entry(store.port()));
+            for (int attempt = 1; attempt <= 3; attempt++) {
+                PartSend part = part(attempt, attempt);
+                full.runOnContext(v -> one.call(List.of(part)));
+                assertEquals(attempt < 3 ? Outcome.CONNECT_FAILED : Outcome.OK, next().outcome());
+            }
+        } finally {
+            full.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        }
+    }
+
+    /** The failure may be known before the call that the connection was opened for is handed to it: that call waited for its time-out. */
+    @Test
+    void aCallOnAConnectionThatFailedAtOnceEnds() throws Exception {
+        BlockingQueue<Event> probes = new LinkedBlockingQueue<>();
+        FrameTransport.Shared shared = new FrameTransport.Shared(vertx, () -> Stage.settings(100).limits(), () -> 1,
+                new Reports(() -> Stage.settings(100).reportFields()), clock, event -> {
+                    if (event instanceof Event.AttemptOver over) {
+                        ends.add(over);
+                    } else {
+                        probes.add(event);
+                    }
+                });
+        onLoop(() -> {
+            FrameConnection failed = new FrameConnection(shared, () -> false, c -> { }, () -> { });
+            failed.close();
+            failed.call(List.of(part(1, 0), part(2, 1)));
+            failed.probe(7);
+        });
+        for (long attempt = 1; attempt <= 2; attempt++) {
+            Event.AttemptOver over = next();
+            assertEquals(attempt, over.attempt());
+            assertEquals(Outcome.CONNECT_FAILED, over.outcome());
+        }
+        assertTrue(probes.poll(5, TimeUnit.SECONDS) instanceof Event.ProbeOver over && over.probe() == 7);
+    }
+
     /** A connection that is left before it is up holds its descriptor until it is up and closed, or has failed. */
     @Test
     void aConnectionThatIsStillToComeUpCountsUntilItIsClosed() throws Exception {
