What was read without a key is not taken under a class that needs one

A query's key is read with its head's class, and the query is taken under what that class has become by the turn it enters: the body may come seconds after the head, and a new configuration between them, or in the same turn. Where the new settings say that the class is guarded by a key, its parts left without `k`, and so did their further attempts within the window: stores can not know them as repeats, and the effect may come twice.

Checked and ruled out: a class that is dropped meanwhile (refused before this), one that becomes free or runs once only (nothing more is sent than its new effect allows), places in the list that shift (classes go by name; seen with the decisions' floor read from the new settings: an open query was refused instead of answered in part). At fault: Reducer.queryTaken. It is refused now; nothing of it was sent, and the client comes again with its key.

whatWasReadWithoutAKeyIsNotTakenUnderAClassOfKeys; on the old code: "expected: <[]> but was: <[SendCall[store=2, parts=[PartSend[attempt=1, partId=q1.0, shard=0, key=, ...". The comment of anOpenQueryKeepsTheClassThatItCameUnder stands before its test again.

--- a/src/main/java/dunlinhitch/core/Reducer.java
+++ b/src/main/java/dunlinhitch/core/Reducer.java
@@ -303,8 +303,10 @@
         counters.add(Count.QUERIES_TAKEN);
         int tenant = tenantOf(ask.tenant());
         counters.add(Count.TENANTS_UNKNOWN, settings.tenants().isEmpty() || tenant >= 0 ? 0 : 1);
+        // it was read as one without a key: the stores could not know a repeat of its parts
+        boolean keyless = ask.kind().repeat() == Repeat.GUARDED && e.ask().kind().repeat() != Repeat.GUARDED;
         boolean full = queryClass < 0 // dropped since it was read
-                || stopping || fenced() || tables.held() + 1 + ask.parts().size() > settings.limits().mostHeld();
+                || keyless || stopping || fenced() || tables.held() + 1 + ask.parts().size() > settings.limits().mostHeld();
         if (full || ask.deadlineUs() <= now || tables.byId.containsKey(ask.id())) {
             counters.add(Count.TURNED_AWAY);
             long comeBackUs = settings.limits().retryAfter() ? settings.limits().maxRetryAfterUs() : 0;
--- a/src/test/java/dunlinhitch/core/ReducerTest.java
+++ b/src/test/java/dunlinhitch/core/ReducerTest.java
@@ -380,10 +380,6 @@
                 s.reportsInProbes(), s.reportFields(), s.marksRepeats());
     }
 
-    /**
-     * The class in front of it is dropped and its name stands for other rules: an open query is still answered in part,
-     * as its class allowed when it came, and a new one is not. Guards against places in a list that has shifted.
-     */
     /** Withdrawn by its records: nothing new, in the same turn; back within the linger it keeps its number. */
     @Test
     void aWithdrawnStoreIsLeftAtOnceAndIsTheSameWhenItIsBack() {
@@ -417,6 +413,10 @@
         assertEquals(1, reducer.figures().knownStores());
     }
 
+    /**
+     * The class in front of it is dropped and its name stands for other rules: an open query is still answered in part,
+     * as its class allowed when it came, and a new one is not. Guards against places in a list that has shifted.
+     */
     @Test
     void anOpenQueryKeepsTheClassThatItCameUnder() {
         stores();
@@ -501,6 +501,42 @@
         assertTrue(answer(1) instanceof Answer.Refused, "answer: " + answer(1));
     }
 
+    private static QueryClass effect(QueryClass c, Repeat repeat, long windowUs) {
+        return new QueryClass(c.name(), c.aimUs(), 0, c.deadlineUs(), repeat, c.lateWorth(), windowUs, c.worth(), false, 0, c.floor(), c.need(),
+                c.shortWorth());
+    }
+
+    /** Read under a class that has no keys, taken under one that has: its parts left without a key, and so did their repeats. */
+    @Test
+    void whatWasReadWithoutAKeyIsNotTakenUnderAClassOfKeys() {
+        stores();
+        Event crossing = query(1, 0, 1);
+        QueryClass keyed = effect(reducer.settings().classes().get(0), Repeat.GUARDED, SECOND);
+        turn(new Event.ConfigTaken(with(List.of(keyed), 4), "127.0.0.1", 9), crossing);
+        assertEquals(List.of(), of(SendCall.class));
+        assertTrue(answer(1) instanceof Answer.Refused, "answer: " + answer(1));
+        turn(query(2, 0, 1));
+        assertEquals(1, of(SendCall.class).size(), "what was read since is taken");
+    }
+
+    /** The window of its own class counts for an open query, in the decisions and in their guard: the new one is far longer, or none. */
+    @ParameterizedTest
+    @CsvSource({"200000, 5000000, 100000, 1", "200000, 5000000, 300000, 0", "5000000, 0, 300000, 1"})
+    void anOpenQueryKeepsTheWindowThatItCameUnder(long ownUs, long newUs, long endsUs, int again) {
+        stores();
+        QueryClass free = reducer.settings().classes().get(0);
+        QueryClass kind = reducer.settings().classes().get(1);
+        turn(new Event.ConfigTaken(with(List.of(free, effect(kind, Repeat.GUARDED, ownUs)), 4), "127.0.0.1", 9), query(1, 1, 1));
+        long sentUs = now;
+        turn(new Event.ConfigTaken(with(List.of(effect(kind, Repeat.GUARDED, newUs), free), 4), "127.0.0.1", 9));
+        now += endsUs;
+        turn(Event.AttemptOver.of(partsOf(effects).get(0).attempt(), Outcome.ERROR));
+        run(100_000);
+        assertEquals(1 + again, partsOf(effects).size());
+        assertEquals(again == 0 ? Long.MAX_VALUE : sentUs + ownUs, partsOf(effects).get(again).repeatUntilUs());
+        assertEquals(0, reducer.counters().get(Count.SENDS_BARRED) + reducer.counters().get(Count.FAULTS));
+    }
+
     /** The start names discovery; a configuration that is read again moves it only where it names another address. */
     @Test
     void discoveryIsFollowedToANewAddressOnly() {
