A list of no stores from before the start does not make a broker ready

Seen while readiness was measured: with discovery down and "known" in the configuration that names no store, a broker said ready a second after it was made, and would have refused whatever clients came. Broker.known asked only whether the key is there.

The test lets the span pass by a timer of the broker's own loop set behind its making; later only makes it surer. With the old line put back: "expected: <503> but was: <200>".

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -93,6 +93,7 @@
     private final FleetLink peers;
     private final Front flight;
     private FlightStores flightStores;
+    /** Stores are known from before the start: a list of none lets nobody in while discovery may name some. */
     private final boolean known;
     private int port;
     private int flightPort;
@@ -144,9 +145,10 @@
                 : new FlightFront(vertx, context, exchanges, queries, loop, clock);
         stores = new Stores(entry -> open(context, frames, reports, entry), loop);
         RosterReader reader = new RosterReader(config.settings().zones(), loop);
-        known = config.known().get("instances") != null;
-        if (known) {
-            loop.accept(reader.read(config.known(), true));
+        Event.RosterNews before = config.known().get("instances") == null ? null : reader.read(config.known(), true);
+        known = before != null && !before.stores().isEmpty();
+        if (before != null) {
+            loop.accept(before);
         }
         List<Source> all = new ArrayList<>();
         if (config.product().discovery()) {
