Tests of a client that ends within its request, of a half-close, and of the oldest that lingers

A close or a reset within a body, of a stated length or chunked: nothing is taken. This holds also with HttpFront.readBody's line cut, and with a taking put in its place, for no end of the message is told and the connection has gone by then; so it was not seen to fail and the row stays open.

A half-close behind a whole request: the client has left, and its connection is closed. With ALLOW_HALF_CLOSURE set true: "Read timed out".

24 connections that linger where 24 descriptors may be held: the first of them is reset. With Links.cutLingering's loop cut: "Expected java.io.IOException to be thrown, but nothing was thrown".

--- a/src/test/java/dunlinhitch/intake/http/HttpFrontOnAClockTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontOnAClockTest.java
@@ -253,6 +253,54 @@
         assertTrue(events.stream().noneMatch(e -> e instanceof Event.QueryTaken), events.toString());
     }
 
+    /** The end of the stream or a reset within a body: nothing is taken. A half-close behind a whole request: the client has left. */
+    @Test
+    void whoEndsWithinItsRequestAsksNothingAndAHalfCloseIsAnEnd() throws Exception {
+        String chunked = post("a").replaceAll("Content-Length: [0-9]+", "Transfer-Encoding: chunked").replaceAll("(?s)\r\n\r\n.*", "\r\n\r\n");
+        for (String part : List.of(post("a").substring(0, post("a").length() - 5), chunked + "5\r\n{\"ran", chunked + "1\r\n{\r\n0\r\n")) {
+            for (boolean reset : List.of(false, true)) {
+                try (Socket socket = connect()) {
+                    write(socket, part);
+                    atOnce(() -> { }, 0, () -> { }); // it is read
+                    socket.setSoLinger(reset, 0);
+                }
+            }
+        }
+        try (Socket socket = connect()) {
+            write(socket, post("b"));
+            Event taken = events.poll(5, TimeUnit.SECONDS);
+            while (taken instanceof Event.Noted) {
+                taken = events.poll(5, TimeUnit.SECONDS);
+            }
+            assertEquals("b", ((Event.QueryTaken) taken).ask().id());
+            socket.shutdownOutput();
+            assertEquals(-1, socket.getInputStream().read());
+            assertTrue(events.poll(5, TimeUnit.SECONDS) instanceof Event.ClientLeft);
+        }
+        assertTrue(events.stream().noneMatch(e -> e instanceof Event.QueryTaken), events.toString());
+    }
+
+    /** Where descriptors are short a connection that only lingers goes, the oldest first. */
+    @Test
+    void theOldestThatLingersMakesRoom() throws Exception {
+        List<Socket> lingering = new ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            lingering.add(connect());
+            write(lingering.get(i), "GET /health/live HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+            answer(lingering.get(i));
+            assertEquals(-1, lingering.get(i).getInputStream().read());
+        }
+        org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> {
+            for (int i = 0; i < 100; i++) {
+                write(lingering.get(0), "x");
+                Thread.yield();
+            }
+        });
+        for (Socket socket : lingering) {
+            socket.close();
+        }
+    }
+
     /** More than any client has to say: it is not read for ever. */
     @Test
     void whatIsDiscardedIsBounded() throws Exception {
