--- a/src/main/java/dunlinhitch/Main.java
+++ b/src/main/java/dunlinhitch/Main.java
@@ -53,7 +53,14 @@
                         .setClassPathResolvingEnabled(false).setFileCachingEnabled(false))).build();
     }
 
+    /** Of this process; heeded before all else where it serves. */
+    private static final HangUps HANG_UPS = new HangUps();
+
     public static void main(String[] arguments) {
+        if (arguments.length > 0 && arguments[0].equals("serve") && !HANG_UPS.heed()) {
+            System.out.println("SIGHUP is ignored, as by nohup: the configuration will not be read again on it; start this by "
+                    + "'env --default-signal=HUP'");
+        }
         int code = arguments.length == 1 && arguments[0].equals("serve") ? serve() : commandLine(arguments).execute(arguments);
         if (code != 0 || arguments.length == 0 || !arguments[0].equals("serve")) {
             System.out.flush();
@@ -143,6 +150,7 @@
                 try {
                     broker[0] = new Broker(vertx, context, config, System.out::println, listener);
                     broker[0].rereadBy(file::again);
+                    HANG_UPS.to(() -> context.runOnContext(again -> broker[0].reload(file::again)));
                 } catch (RuntimeException | LinkageError e) {
                     fault[0] = e;
                     started.countDown();
@@ -152,23 +160,20 @@
                         config.listen().host(), QUERIES_TO_COMPILE, rehearsalEndUs()).run()).compose(rehearsed -> broker[0].start())
                         .onComplete(bound -> {
                             fault[0] = bound.cause();
-                            System.out.println(config.name() + " listens on " + config.listen().host() + ":"
-                                    + bound.result());
-                            config.settings().classes().forEach(kind -> System.out.println("class " + kind.name()
-                                    + ": aim " + kind.aimUs() + " us, deadline " + kind.deadlineUs() + " us"));
+                            if (bound.succeeded()) {
+                                System.out.println(config.name() + " listens on " + config.listen().host() + ":"
+                                        + bound.result());
+                                config.settings().classes().forEach(kind -> System.out.println("class " + kind.name()
+                                        + ": aim " + kind.aimUs() + " us, deadline " + kind.deadlineUs() + " us"));
+                            }
                             started.countDown();
                         });
             });
-            boolean heeded = Signals.on("HUP", () -> context.runOnContext(v -> {
-                if (broker[0] != null) {
-                    broker[0].reload(file::again);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                if (fault[0] == null) { // else it ends by itself, with the code that says so
+                    finish(context, broker[0]);
                 }
-            }));
-            if (!heeded) {
-                System.out.println("SIGHUP is ignored, as by nohup: the configuration will not be read again on it; start this by "
-                        + "'env --default-signal=HUP'");
-            }
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> finish(context, broker[0]), "finish"));
+            }, "finish"));
             started.await();
             if (fault[0] != null) {
                 throw new Config.ConfigException("cannot serve: " + fault[0].getMessage());
