--- a/src/main/java/dunlinhitch/decide/Policy.java
+++ b/src/main/java/dunlinhitch/decide/Policy.java
@@ -304,8 +304,9 @@
         return workOf(part) + settings.layout().callOverheadUs();
     }
 
-    /** What its bucket pays. Of a class that was hardly seen yet the work is a guess and may be several times as much; after
-     * a restart all aggregators guess so at once. Until it is learned a part pays by the quickest there was, if that is more. */
+    /** What its bucket pays. Of a class that was hardly seen yet the work is a guess and may be several times
+     * as much; after a restart all aggregators guess so at once. Until it is learned a part pays by the
+     * quickest there was, if that is more. */
     private double coldPrice(Part part) {
         Learned c = part.query.learned;
         boolean known = part.hintUs > 0 || c.workUs > 0;
