--- a/src/test/java/dunlinhitch/roster/WatchTest.java
+++ b/src/test/java/dunlinhitch/roster/WatchTest.java
@@ -260,8 +260,10 @@
         two.write(OK + "Transfer-Encoding: chunked\r\n\r\n" + chunk(list(8, false, "z").substring(0, 50)) + "0\r\n\r\n");
         Asked three = discovery.again();
         assertEquals("GET /registry/instances?follow=1&since=6 HTTP/1.1", three.line());
-        three.write(OK + "\r\n" + list(9, false, "w"));
+        three.write(OK + "Transfer-Encoding: chunked\r\n\r\n" + chunk(list(9, false, "w")) + "50\r\n{\"generation\":10,");
         assertEquals(List.of("w"), names(next(Event.RosterNews.class)));
+        three.reset();
+        assertEquals("GET /registry/instances?follow=1&since=9 HTTP/1.1", discovery.again().line());
     }
 
     /** A change of an older generation than the one that is held would turn back what is known: all is asked for instead. */
@@ -329,4 +331,35 @@
         }
         assertEquals(List.of("s"), names(next(Event.RosterNews.class)));
     }
+
+    /** A list in each form that an answer may have, cut into single bytes: lengths, chunks and their extensions, trailers, words before the answer. */
+    @Test
+    void listsAreReadInAllForms() throws Exception {
+        String text = list(5, true, "süd") + "\n \r\n" + list(6, false, "x") + list(7, false, "y").replace("\n", "");
+        byte[] all = text.getBytes(StandardCharsets.UTF_8);
+        String chunked = "Transfer-Encoding: chunked\r\n\r\n";
+        StringBuilder pieces = new StringBuilder();
+        for (byte b : all) {
+            pieces.append("1\r\n").append((char) (b & 0xff)).append("\r\n");
+        }
+        String whole = new String(all, StandardCharsets.ISO_8859_1);
+        String size = Integer.toHexString(all.length).toUpperCase(java.util.Locale.ROOT);
+        for (String form : List.of(OK + "Content-Length: " + all.length + "\r\n\r\n" + whole,
+                OK + "connection: close\r\ncontent-length:" + all.length + "\r\n\r\n" + whole,
+                OK + chunked + size + "\r\n" + whole + "\r\n0\r\n\r\n",
+                OK + "transfer-ENCODING:\t Chunked \r\n\r\n000" + size + " ; a=\"b;c\";d\r\n" + whole + "\r\n0;e\r\nX-Sum: 1\r\n\r\n",
+                "HTTP/1.1 200\r\n" + chunked + pieces + "0\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + OK + chunked + pieces)) {
+            Asked one = discovery.next();
+            for (byte b : form.getBytes(StandardCharsets.ISO_8859_1)) {
+                one.write(new byte[] {b});
+            }
+            for (String name : List.of("süd", "x", "y")) {
+                assertEquals(List.of(name), names(next(Event.RosterNews.class)), form);
+            }
+            one.reset();
+            assertEquals(Count.ROSTER_LOST, next(Event.Noted.class).what());
+            clock.addAndGet(STEP_US);
+        }
+    }
 }
