--- a/src/test/java/dunlinhitch/RulesOnBothPathsTest.java
+++ b/src/test/java/dunlinhitch/RulesOnBothPathsTest.java
@@ -15,11 +15,14 @@
 import dunlinhitch.lab.standin.Store;
 import dunlinhitch.lab.standin.Store.Do;
 import dunlinhitch.lab.standin.Store.Seen;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -69,6 +72,10 @@
                 Client.body(shards));
     }
 
+    private CompletableFuture<Got> askUnder(String key, String id) {
+        return client.ask("slot-booking", Map.of("X-Trace-Id", id, "X-Expires-In", "1.100", "Idempotency-Key", key), Client.body(2));
+    }
+
     private static Got wait(CompletableFuture<Got> answer) throws Exception {
         return answer.get(5, TimeUnit.SECONDS);
     }
@@ -146,7 +153,7 @@
         script(part -> part.shard() == 3 ? Do.NOTHING : Do.GOOD);
         Got got = wait(ask("free-search", 0, 1, 2, 3));
         assertEquals("partial", got.end());
-        assertEquals(java.util.Set.of(0, 1, 2), got.parts().keySet());
+        assertEquals(Set.of(0, 1, 2), got.parts().keySet());
         script(part -> part.shard() >= 2 ? Do.NOTHING : Do.GOOD);
         got = wait(ask("free-search", 0, 1, 2, 3));
         assertTrue(List.of("refused", "late").contains(got.end()), "half is under the floor: " + got);
@@ -170,6 +177,24 @@
         assertTrue(one.seen.size() + two.seen.size() <= 4, "no more attempts than the settings allow");
     }
 
+    /** A client that comes again while its first query is out is another query: parts of their own, which stores know by the key. */
+    @ParameterizedTest
+    @EnumSource(Path.class)
+    void aKeyThatComesAgainWhileTheFirstIsOutIsAQueryOfItsOwn(Path path) throws Exception {
+        begin(path, 300);
+        script(part -> part.id().startsWith("q1.") ? Do.NOTHING : Do.GOOD);
+        askUnder("same", "q1");
+        while (one.seen.isEmpty() && two.seen.isEmpty()) {
+            Thread.onSpinWait();
+        }
+        assertEquals("whole", wait(askUnder("same", "q2")).end());
+        List<Seen> seen = new ArrayList<>(one.seen);
+        seen.addAll(two.seen);
+        assertEquals(Set.of("q1.2", "q2.2"), seen.stream().map(Seen::id).collect(Collectors.toSet()));
+        assertTrue(seen.stream().allMatch(part -> part.list().endsWith(",k=same")), seen.toString());
+        assertEquals(0, stage.count("sends_barred") + stage.count("turned_away"));
+    }
+
     @ParameterizedTest
     @EnumSource(Path.class)
     void whatIsTurnedAwayIsAskedElsewhere(Path path) throws Exception {
@@ -279,7 +304,7 @@
         two.score = one.score;
         Got got = wait(ask("report", 0, 1, 2, 3));
         assertEquals("whole", got.end());
-        assertEquals(java.util.Set.of(1, 2), got.parts().keySet());
+        assertEquals(Set.of(1, 2), got.parts().keySet());
         got.parts().forEach((shard, value) -> assertTrue(value.matches("s-[01]/" + shard + "/tenors é/again"), value));
         assertEquals(2, secondParts().size());
         for (Seen part : secondParts()) {
