Tests of a call that crosses the end of an idle connection, and of a close over a store's unread bytes

A store ends a resting connection while the loop is behind, and a call is written before that is read. Behind an end of the stream it has left whole and ends as reset; behind a reset nothing can be written, and it ends as one that has not run. What follows goes over another connection.

A store has sent half a line, a part is given up, and the broker closes before it reads: the part that is out ends as reset, the store's next write finds the connection reset, and another store's connection goes on.

--- a/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
@@ -30,6 +30,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -280,6 +282,79 @@
         assertEquals(2, store.sockets.size());
     }
 
+    /** The loop stands still from here until {@code peer} is done; then {@code task} goes before all that came meanwhile. */
+    private void whileBehind(Callable<?> peer, Runnable task) throws Exception {
+        CountDownLatch behind = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        onLoop(() -> {
+            behind.countDown();
+            try {
+                goOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            task.run();
+        });
+        behind.await();
+        peer.call();
+        goOn.countDown();
+    }
+
+    /**
+     * The store ends a connection that stands idle, and a call is written to it before that is read: it may have run. Where it resets the
+     * connection nothing can be written any more, and the call has not run.
+     */
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, names = {"RESET", "CONNECT_FAILED"})
+    void aCallThatCrossesTheEndOfAnIdleConnectionMayHaveRunIfItLeft(Outcome outcome) throws Exception {
+        try (ServerSocket peer = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            FrameTransport to = unasked(peer.getLocalPort(), 3);
+            onLoop(() -> to.call(List.of(part(1, 0))));
+            Socket taken = peer.accept();
+            taken.getInputStream().skipNBytes(5 + "q.0 0 d=60000 4\ntext".length());
+            taken.getOutputStream().write(FrameStore.frame('q', "q.0 good 1 -\nv").getBytes());
+            assertEquals(Outcome.OK, next().outcome());
+            whileBehind(() -> {
+                taken.setSoLinger(outcome == Outcome.CONNECT_FAILED, 0);
+                taken.close();
+                return taken;
+            }, () -> to.call(List.of(part(2, 1), part(3, 2))));
+            assertEquals(outcome, next().outcome());
+            assertEquals(outcome, next().outcome());
+            onLoop(() -> to.call(List.of(part(4, 3))));
+            peer.accept().close(); // what is new goes over another
+        }
+    }
+
+    /** The store has sent half a line that nobody read: the close resets the connection, what is out ends as that, and all else goes on. */
+    @Test
+    void aCloseOverUnreadBytesIsAResetOfAllThatIsOut() throws Exception {
+        try (ServerSocket peer = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            FrameTransport to = unasked(peer.getLocalPort(), 3);
+            onLoop(() -> to.call(List.of(part(1, 0), part(2, 1))));
+            try (Socket taken = peer.accept()) {
+                taken.setSoTimeout(5_000);
+                assertTrue(taken.getInputStream().read() >= 0);
+                onLoop(() -> to.giveUp(1));
+                whileBehind(() -> {
+                    taken.getOutputStream().write(FrameStore.frame('q', "q.1 good 1 -\nv").getBytes(0, 9));
+                    return taken;
+                }, to::close);
+                Event.AttemptOver over = next();
+                assertEquals(2, over.attempt());
+                assertEquals(Outcome.RESET, over.outcome());
+                assertThrows(SocketException.class, () -> {
+                    while (true) {
+                        taken.getOutputStream().write(0);
+                        Thread.yield();
+                    }
+                });
+            }
+            onLoop(() -> transport.call(List.of(part(3, 2))));
+            assertEquals(3, next().attempt());
+        }
+    }
+
     /** A call that is more than the connection may carry goes over a second one. */
     @Test
     void aConnectionCarriesNoMorePartsThanItMay() throws Exception {
