Heads that come 3 s late and moves join the walk over failed calls to discovery

Checked: the longest time from a change to its list being read, where discovery is asked, over 1,000 seeded orders each for 1, 4, 30 and 100 brokers: calls refused, reset, answered 503, silent, given up, heads up to 3 s late, half a list, lists and then silence, up to three moves before and after the return, answers of up to 1.8 s.

--- a/src/test/java/dunlinhitch/roster/WatchPlanTest.java
+++ b/src/test/java/dunlinhitch/roster/WatchPlanTest.java
@@ -202,7 +202,7 @@
     }
 
     /** What becomes of a call while discovery can not be reached; it never answers one of these later. */
-    private enum Fault { REFUSED, SAYS_503, NEVER_CONNECTS, NEVER_ANSWERS, HEAD_ALONE, ONE_LINE, LIST_AND_RESET, LISTS_AND_SILENCE }
+    private enum Fault { REFUSED, SAYS_503, NEVER_CONNECTS, NEVER_ANSWERS, HEAD_ALONE, LATE_HEAD, MOVES, ONE_LINE, LIST_AND_RESET, LISTS_AND_SILENCE }
 
     /** When a call is made that discovery, there again since {@code backUs}, can answer; before that each call has a fault of its own. */
     private long askedAfter(WatchPlan plan, long backUs, SplittableRandom random, Fault[] faults) {
@@ -244,6 +244,8 @@
             case SAYS_503 -> script.put(at, lost);
             case NEVER_CONNECTS -> script.put(now + SECOND, lost);
             case HEAD_ALONE -> script.put(at, head);
+            case LATE_HEAD -> script.put(now + 2_600_000 + random.nextLong(390_000), head);
+            case MOVES -> script.put(at, () -> took(plan.follow(now, "b" + call, 2)));
             case LIST_AND_RESET -> {
                 script.put(at, head);
                 script.put(at + 1, list);
