A test that a front is over at its time though a client reads nothing of its answer

32 MB are answered to a client that does not read, the front is told its end, and its listener closes: it is not over, and is once the clock has come to its time. With GracefulShutdown.passed's end at dueUs cut: "expected: <true> but was: <false>".

--- a/src/test/java/dunlinhitch/intake/http/HttpFrontOnAClockTest.java
+++ b/src/test/java/dunlinhitch/intake/http/HttpFrontOnAClockTest.java
@@ -301,6 +301,28 @@
         }
     }
 
+    /** Who takes nothing of its answer holds the end of the front up to its time, and no longer. */
+    @Test
+    void theFrontIsOverAtItsTimeThoughAClientReadsNothing() throws Exception {
+        CountDownLatch over = new CountDownLatch(1);
+        try (Socket socket = connect()) {
+            write(socket, post("a"));
+            assertTrue(events.poll(5, TimeUnit.SECONDS) instanceof Event.QueryTaken);
+            atOnce(() -> { }, 0, () -> exchanges.reply(1, new Answer.Served(true, List.of(new Answer.PartValue(1, "x".repeat(32 << 20))))));
+            atOnce(() -> { }, 0, () -> front.close(now.get() + 1_000_000).onComplete(v -> over.countDown()));
+            while (over.getCount() > 0) {
+                try (Socket next = new Socket("127.0.0.1", port)) { // it is let in or refused, but the listener closes
+                    assertTrue(next.isConnected());
+                } catch (java.net.ConnectException closed) {
+                    break;
+                }
+            }
+            assertEquals(1, over.getCount(), "nothing holds it up");
+            atOnce(() -> { }, 1_000_000, () -> { });
+            assertTrue(over.await(5, TimeUnit.SECONDS));
+        }
+    }
+
     /** More than any client has to say: it is not read for ever. */
     @Test
     void whatIsDiscardedIsBounded() throws Exception {
