--- a/src/test/java/dunlinhitch/decide/ColdRampTest.java
+++ b/src/test/java/dunlinhitch/decide/ColdRampTest.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** A cold store falls by the sum of what all brokers send it, and none of them knows of the others' sends. */
 class ColdRampTest {
@@ -94,6 +97,41 @@
         return sent;
     }
 
+    /**
+     * A part is paid for when it is sent, whatever becomes of it: a store may have begun what was reset or given up, and what it turned
+     * away has cost it a call. Two processes that are one broker have half each.
+     */
+    @ParameterizedTest
+    @EnumSource(value = Routing.Outcome.class, names = {"CONNECT_FAILED", "RESET", "TIMEOUT", "ERROR", "FULL", "MOOT"})
+    void whatBecomesOfAnAttemptGivesNothingBack(Routing.Outcome outcome) {
+        for (int processes : List.of(1, 2)) {
+            List<Script> all = new ArrayList<>();
+            for (int i = 0; i < processes; i++) {
+                all.add(new Script(new Sites().build().amongAggregators(processes), i));
+                all.get(i).list(Sites.fresh(1, 0, all.get(i).now));
+            }
+            List<Long> sentAt = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                Script s = all.get(i % processes);
+                all.forEach(one -> one.run(10_000));
+                s.query(0, 3_000_000, 0);
+                for (Script one : all) {
+                    while (!one.sent.isEmpty()) { // what is sent again at once ends so too
+                        Script.Sent sent = one.sent.remove(0);
+                        sentAt.add(sent.atUs());
+                        one.end(sent, outcome);
+                    }
+                }
+            }
+            int most = 0;
+            for (long from : sentAt) {
+                most = (int) Math.max(most, sentAt.stream().filter(at -> at >= from && at < from + 1_000_000).count());
+            }
+            double n = 2 * (0.2 + 0.8 * 0.35) / 0.1; // at the end of the four seconds, in parts of a tenth of a second
+            assertTrue(most >= 3 && most <= n + 2, processes + ": " + most + " in a second, of " + n);
+        }
+    }
+
     /** Shares of a call add up: buckets with phases drawn evenly let through what comes in, no more and no less. */
     @Test
     void bucketsOfUnevenPhasesLetThroughTheirSumInEachPeriod() {
