--- a/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
@@ -194,11 +194,13 @@
         assertEquals(Outcome.RESET, next().outcome());
     }
 
-    /** A frame that never ends holds up what is behind it; its time is far shorter than that of the parts. */
-    @Test
-    void aFrameThatNeverEndsIsAReset() throws Exception {
+    /** A frame that never ends holds up what is behind it; its time is far shorter than that of the parts. Answers to checks would fill it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aFrameThatNeverEndsIsAReset(boolean checked) throws Exception {
         store.script = part -> Do.NOTHING;
-        onLoop(() -> transport.call(List.of(part(1, 0), part(2, 1))));
+        FrameTransport to = checked ? transport : unasked(store.port(), 1);
+        onLoop(() -> to.call(List.of(part(1, 0), part(2, 1))));
         store.seen.poll(5, TimeUnit.SECONDS);
         store.sockets.get(0).write(FrameStore.frame('q', "q.0 good 1 -\nv")
                 .appendBuffer(Buffer.buffer(new byte[] {100, 0, 0, 0, 'q', 'q'})));
