A call that crosses the store's close of an idle connection: shown to be a reset

No change of the program. Store and broker share the test's loop: the close is written, then the call, and only then does the loop read of the close. With the outcome of FrameConnection.closed taken as never run: "expected: <RESET> but was: <CONNECT_FAILED>"; with the closed connection left among those that are called: "expected: <OK> but was: <CONNECT_FAILED>".

--- a/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
@@ -294,6 +294,21 @@
         assertEquals(2, store.sockets.size());
     }
 
+    /** The store closes the idle connection in the moment in which a call is written to it: that may have run, and the next goes over a new one. */
+    @Test
+    void aCallThatCrossesTheStoresCloseIsAReset() throws Exception {
+        onLoop(() -> transport.call(List.of(part(1, 0))));
+        assertEquals(Outcome.OK, next().outcome());
+        onLoop(() -> {
+            store.sockets.get(0).close(); // the loop reads of it only after the call is written
+            transport.call(List.of(part(2, 1)));
+        });
+        assertEquals(Outcome.RESET, next().outcome());
+        onLoop(() -> transport.call(List.of(part(3, 2))));
+        assertEquals(Outcome.OK, next().outcome());
+        assertEquals(2, store.sockets.size());
+    }
+
     /** A call that is more than the connection may carry goes over a second one. */
     @Test
     void aConnectionCarriesNoMorePartsThanItMay() throws Exception {
