A reading of the configuration begins when the one before is taken

ReloadTest.whatWasReadLastHolds failed once in six runs on a loaded machine: the newer configuration was taken first and the older one last, which then held, with the older address of discovery. The two readings go through the worker threads in order, but a reading that is over before its handler is set is taken at once, while the loop is still to be told the end of the one before. Ruled out: the order of the reads themselves on one context. At fault: Broker.reload and readAgain, which set their handlers each on its own. They now go through one chain.

--- a/src/main/java/dunlinhitch/Broker.java
+++ b/src/main/java/dunlinhitch/Broker.java
@@ -100,6 +100,8 @@
     /** When the process has to be over; 0: nobody said. */
     private long overUs;
     private Supplier<Config> reread;
+    /** What is read of the configuration, or was read last. */
+    private Future<Config> reading = Future.succeededFuture();
     private long writtenMs;
 
     /** Must be made on the event loop that is to run it. */
@@ -292,7 +294,7 @@
 
     /** The configuration is read again, off the loop: its settings and discovery's address hold from then on. */
     public void reload(Supplier<Config> again) {
-        vertx.executeBlocking(again::get).onComplete(read -> {
+        read(again).onComplete(read -> {
             if (read.succeeded()) {
                 taken(read.result());
             } else {
@@ -302,6 +304,12 @@
         });
     }
 
+    /** Begins when what was read before is taken: a read that is over at once would else be taken before one whose end the loop is still to be told. */
+    private Future<Config> read(Supplier<Config> again) {
+        reading = reading.transform(before -> vertx.executeBlocking(again::get));
+        return reading;
+    }
+
     private void taken(Config read) {
         writtenMs = read.writtenMs();
         loop.accept(new Event.ConfigWritten(writtenMs));
@@ -317,7 +325,7 @@
     /** A file that is still the one that was taken changes nothing, and is not worth a line. It is taken in the order of the reads. */
     void readAgain() {
         if (reread != null) {
-            vertx.executeBlocking(reread::get).onSuccess(read -> {
+            read(reread).onSuccess(read -> {
                 if (read.writtenMs() != writtenMs) {
                     taken(read);
                 }
