A rehearsal does not wait for what is never answered, and so a start always goes on

Seen: a scratch broker with 150 descriptors, nearly all of them taken by the jars of a class path, did not listen in 1,160 s. Had again with 146 and 142: 28 sockets are open, the acceptor is told "Too many open files" each second, and the loop goes on with a tenth of a core (its stack by a thread dump is that of turns and of the selector's wait), the rest is the compiler. So it did not spin: the rehearsal's clients hold the descriptors without which its broker can not accept them, and Rehearsal.run waited for all of them without a bound. Ruled out by the same dumps: a thread that is stuck, a lost turn.

Now it is over by its time and the 1 s that a query of it may last, whatever came. The transport of FrameTransportTest shares its four plain methods.

--- a/src/main/java/dunlinhitch/Rehearsal.java
+++ b/src/main/java/dunlinhitch/Rehearsal.java
@@ -31,6 +31,8 @@
     /** Clients wait meanwhile. */
     private static final long LONGEST_US = 3_000_000;
     private static final long LEAST_US = 500_000;
+    /** What was asked last has its answer by then, or never: a start waits for neither. */
+    private static final long ANSWER_US = 1_000_000;
     /** The text of a part ends a line, so that a call is a line for each part and an empty one behind it. */
     private static final String TEXT = "\n";
     /** As in service: replicas to choose from, and now and then a part that is sent again. */
@@ -71,7 +73,10 @@
         return Json.object().add("ranges", ranges).add("predicate", TEXT).toString();
     }
 
-    /** Over when all is asked and the broker has ended; the result is how many queries were served. */
+    /**
+     * Over when all is asked and the broker has ended; the result is how many queries were served. Without a descriptor left the broker
+     * can not accept those whose connections hold them, so what is not answered is not waited for.
+     */
     Future<Integer> run() {
         NetServer peers = vertx.createNetServer();
         NetClient clients = vertx.createNetClient();
@@ -89,7 +94,10 @@
                         for (int i = 0; i < CLIENTS; i++) {
                             asked.add(ask(clients, port));
                         }
-                        return Future.join(asked);
+                        Promise<Void> over = Promise.promise();
+                        long last = vertx.setTimer(MicroClock.timerMs(clock.getAsLong(), dueUs + ANSWER_US), t -> over.tryComplete());
+                        Future.join(asked).onComplete(all -> over.tryComplete());
+                        return over.future().onComplete(v -> vertx.cancelTimer(last));
                     }).eventually(clients::close).eventually(broker::close).eventually(bound::close);
                 }).otherwiseEmpty().map(v -> served);
     }
--- a/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
+++ b/src/test/java/dunlinhitch/dispatch/frames/FrameTransportTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dunlinhitch.OwnTransport;
 import dunlinhitch.core.Effect.PartSend;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.MicroClock;
@@ -22,8 +23,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.impl.transports.NioTransport;
-import io.vertx.core.transport.Transport;
 import java.io.DataInputStream;
 import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
@@ -536,7 +535,7 @@
     /** No descriptor is left (EMFILE): the call ends as one that was not connected, as after a refused connection, and holds no place. */
     @Test
     void aConnectionThatCanNotEvenBeMadeProvesThatNothingRan() throws Exception {
-        class Full extends NioTransport implements Transport {
+        class Full extends OwnTransport {
             private final AtomicInteger left = new AtomicInteger(2);
 
             @Override
@@ -549,26 +548,6 @@
                     return real.newChannel();
                 };
             }
-
-            @Override
-            public String name() {
-                return "full";
-            }
-
-            @Override
-            public boolean available() {
-                return true;
-            }
-
-            @Override
-            public Throwable unavailabilityCause() {
-                return null;
-            }
-
-            @Override
-            public io.vertx.core.spi.transport.Transport implementation() {
-                return this;
-            }
         }
 
         Vertx full = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1)).withTransport(new Full()).build();
