Log failed attempts and their retries; count why queries are given up

Cause: the report's logs name no attempt: that a second one went out 5 ms after the first was cancelled had to be reckoned from the records of stores, and why queries were refused could not be told at all. Measured: dunlinhitch.core, dunlinhitch.balancer, RulesOnBothPathsTest and PackagesTest pass (242 tests), AttemptLogTest passes.

--- a/src/main/java/dunlinhitch/balancer/Admission.java
+++ b/src/main/java/dunlinhitch/balancer/Admission.java
@@ -63,7 +63,7 @@
   void admit(Query query) {
     double tolerance = waitTolerance.of(query);
     if (isTooLateForLag(query)) {
-      completion.giveUp(query);
+      completion.giveUp(query, GiveUpReason.EVENT_LOOP_LATE);
       return;
     }
     List<PlannedPart> plan = plan(query);
@@ -74,7 +74,7 @@
             .mapToDouble(planned -> planned.part().weight)
             .sum();
     if (weightInTime < query.queryClass.floor() - QueryCompletion.WEIGHT_TOLERANCE) {
-      completion.giveUp(query);
+      completion.giveUp(query, GiveUpReason.OVERLOAD);
       return;
     }
     if (canary.isWanted(query)) {
--- a/src/main/java/dunlinhitch/balancer/BalancerActions.java
+++ b/src/main/java/dunlinhitch/balancer/BalancerActions.java
@@ -23,6 +23,12 @@
   /** Final: fails the query, which may have had an effect. */
   void fail(int query);
 
+  /**
+   * Tells why a query ends before it is complete, ahead of its answer, rejection or failure. For
+   * operators; nothing has to be done.
+   */
+  default void onGivenUp(int query, GiveUpReason reason) {}
+
   /** Cancels one attempt; its {@link BalancerEvent.AttemptCompleted} still follows. */
   void cancel(int part, int attempt);
 
--- a/src/main/java/dunlinhitch/balancer/LoadBalancer.java
+++ b/src/main/java/dunlinhitch/balancer/LoadBalancer.java
@@ -137,7 +137,7 @@
       return;
     }
     if (context.nowUs() >= estimators.deadlines.giveUpUs(query)) {
-      completion.giveUp(query);
+      completion.giveUp(query, GiveUpReason.TIME_OVER);
     } else if (!healthChecks.defer(query)) {
       admission.admit(query);
     }
@@ -156,7 +156,7 @@
       canary.onReset(attempt);
     }
     if (!part.query.ended && canary.isSuspect(part.query)) {
-      completion.giveUp(part.query);
+      completion.giveUp(part.query, GiveUpReason.SUSPECT);
     }
     advance(part, event);
     queries.removeIfFinished(part);
@@ -185,7 +185,7 @@
       attempts.request(part);
     }
     if (!query.ended && !answered && completion.isUnattainable(query)) {
-      completion.giveUp(query);
+      completion.giveUp(query, GiveUpReason.UNATTAINABLE);
     }
   }
 
--- a/src/main/java/dunlinhitch/balancer/QueryCompletion.java
+++ b/src/main/java/dunlinhitch/balancer/QueryCompletion.java
@@ -44,7 +44,7 @@
     } else if (isPartialBest(query)) {
       answer(query, false);
     } else if (query.parts.stream().allMatch(part -> part.settled) && hasPartsOfStep(query)) {
-      giveUp(query); // no part can still arrive
+      giveUp(query, GiveUpReason.UNATTAINABLE);
     }
   }
 
@@ -52,7 +52,8 @@
    * Ends a query that gains nothing by waiting: with what has arrived, if that may be answered,
    * else with a rejection or failure.
    */
-  void giveUp(Query query) {
+  void giveUp(Query query, GiveUpReason reason) {
+    context.actions().onGivenUp(query.id, reason);
     if (mayAnswer(query)) {
       answer(query, isComplete(query));
       return;
--- a/src/main/java/dunlinhitch/balancer/QueryMaintenance.java
+++ b/src/main/java/dunlinhitch/balancer/QueryMaintenance.java
@@ -28,7 +28,7 @@
   void examine(Query query) {
     long nowUs = context.nowUs();
     if (nowUs >= deadlines.giveUpUs(query) || completion.isPartialBest(query)) {
-      completion.giveUp(query);
+      completion.giveUp(query, GiveUpReason.TIME_OVER);
       return;
     }
     if (query.deferredUntilUs > 0 && nowUs >= query.deferredUntilUs) {
@@ -41,8 +41,10 @@
     for (Part part : query.parts) {
       hedging.examine(part);
     }
-    if (completion.isUnattainable(query) || completion.isUnsent(query)) {
-      completion.giveUp(query);
+    if (completion.isUnattainable(query)) {
+      completion.giveUp(query, GiveUpReason.UNATTAINABLE);
+    } else if (completion.isUnsent(query)) {
+      completion.giveUp(query, GiveUpReason.UNSENT);
     }
   }
 }
--- /dev/null
+++ b/src/main/java/dunlinhitch/core/AttemptLog.java
@@ -0,0 +1,69 @@
+package dunlinhitch.core;
+
+import dunlinhitch.balancer.AttemptOutcome;
+
+/**
+ * Log lines about attempts that did not end with an answer and about the retries that follow, with
+ * the names that endpoints and clients know. At most {@value #LINES_PER_SECOND} lines a second,
+ * since an outage concerns many attempts at once; what is left out is counted. Owned by the
+ * reducer; not thread-safe.
+ */
+final class AttemptLog {
+  private static final int LINES_PER_SECOND = 10;
+  private static final long SECOND_US = 1_000_000;
+  private static final long US_PER_MS = 1_000;
+
+  private final TurnContext context;
+  private final Counters counters;
+  private long secondBeganUs;
+  private int linesThisSecond;
+  private long omittedLines;
+
+  AttemptLog(TurnContext context, Counters counters) {
+    this.context = context;
+    this.counters = counters;
+    secondBeganUs = context.nowUs();
+  }
+
+  /** An attempt of an open part beyond its first is about to be sent. */
+  void onRepeated(InFlightAttempt attempt) {
+    counters.add(Counter.ATTEMPTS_REPEATED);
+    write(subject(attempt) + " repeats an earlier one");
+  }
+
+  /** An attempt ended without an answer. */
+  void onEnded(InFlightAttempt attempt, AttemptOutcome outcome) {
+    if (outcome == AttemptOutcome.OK || outcome == AttemptOutcome.MOOT || attempt.part().closed) {
+      return;
+    }
+    write(subject(attempt) + " ended as " + outcome + " after " + ageMs(attempt) + " ms");
+  }
+
+  private static String subject(InFlightAttempt attempt) {
+    return "attempt "
+        + attempt.id()
+        + " of part "
+        + attempt.part().id
+        + " at endpoint "
+        + attempt.endpoint().name();
+  }
+
+  private long ageMs(InFlightAttempt attempt) {
+    return (context.nowUs() - attempt.sentUs()) / US_PER_MS;
+  }
+
+  private void write(String line) {
+    if (context.nowUs() - secondBeganUs >= SECOND_US) {
+      secondBeganUs = context.nowUs();
+      linesThisSecond = 0;
+    }
+    if (linesThisSecond >= LINES_PER_SECOND) {
+      omittedLines++;
+      return;
+    }
+    linesThisSecond++;
+    String omitted = omittedLines == 0 ? "" : " (" + omittedLines + " lines left out before)";
+    omittedLines = 0;
+    context.log(line + omitted);
+  }
+}
--- a/src/main/java/dunlinhitch/core/AttemptStage.java
+++ b/src/main/java/dunlinhitch/core/AttemptStage.java
@@ -20,6 +20,7 @@
   private final AttemptObserver observer;
   private final SendGuard guard;
   private final RequestBatcher batcher;
+  private final AttemptLog log;
   private long lastAttempt;
 
   AttemptStage(ReducerState state, AttemptObserver observer) {
@@ -31,6 +32,7 @@
     this.observer = observer;
     guard = new SendGuard(context, registry);
     batcher = new RequestBatcher(context, counters);
+    log = new AttemptLog(context, counters);
   }
 
   /**
@@ -63,6 +65,9 @@
     registry.add(attempt);
     part.attemptsInFlight++;
     attempt.endpoint().attemptsInFlight++;
+    if (part.firstPassAttempts + part.attemptsStarted > 1) {
+      log.onRepeated(attempt);
+    }
     long earlierExecutionUs = part.earliestExecutionUs;
     if (earlierExecutionUs < 0) {
       part.earliestExecutionUs = context.nowUs();
@@ -113,6 +118,7 @@
     attempt.endpoint().attemptsInFlight--;
     counters.add(counterOf(outcome));
     updateEarliestExecution(attempt, outcome);
+    log.onEnded(attempt, outcome);
     boolean servedInFull = outcome == AttemptOutcome.OK && !attempt.firstPass();
     if (servedInFull && !part.closed && part.value == null) {
       part.value = value;
--- a/src/main/java/dunlinhitch/core/BalancerActionHandler.java
+++ b/src/main/java/dunlinhitch/core/BalancerActionHandler.java
@@ -1,6 +1,7 @@
 package dunlinhitch.core;
 
 import dunlinhitch.balancer.BalancerActions;
+import dunlinhitch.balancer.GiveUpReason;
 import dunlinhitch.balancer.settings.Idempotency;
 
 /**
@@ -87,6 +88,21 @@
     completion.fail(query);
   }
 
+  @Override
+  public void onGivenUp(int number, GiveUpReason reason) {
+    state
+        .counters()
+        .add(
+            switch (reason) {
+              case TIME_OVER -> Counter.GIVEN_UP_TIME_OVER;
+              case OVERLOAD -> Counter.GIVEN_UP_OVERLOAD;
+              case EVENT_LOOP_LATE -> Counter.GIVEN_UP_EVENT_LOOP_LATE;
+              case UNSENT -> Counter.GIVEN_UP_UNSENT;
+              case UNATTAINABLE -> Counter.GIVEN_UP_UNATTAINABLE;
+              case SUSPECT -> Counter.GIVEN_UP_SUSPECT;
+            });
+  }
+
   private void endSubQuery(int number, TwoPhaseStage.SubQueryEnd end, long retryAfterUs) {
     if (twoPhases != null) {
       twoPhases.onSubQueryEnded(number, end, retryAfterUs);
--- a/src/main/java/dunlinhitch/core/Counter.java
+++ b/src/main/java/dunlinhitch/core/Counter.java
@@ -16,6 +16,18 @@
   QUERIES_FAILED("failed"),
   /** Queries whose deadline was exceeded. */
   DEADLINES_EXCEEDED("out_of_time"),
+  /** Queries ended by the load balancer because their time was over. */
+  GIVEN_UP_TIME_OVER("given_up_time_over"),
+  /** Queries ended because too few parts were predicted in time. */
+  GIVEN_UP_OVERLOAD("given_up_overload"),
+  /** Queries ended because this broker's event loop was too late. */
+  GIVEN_UP_EVENT_LOOP_LATE("given_up_event_loop_late"),
+  /** Queries ended because nothing of them could be sent for too long. */
+  GIVEN_UP_UNSENT("given_up_unsent"),
+  /** Queries ended because the parts that might still arrive could not make an answer. */
+  GIVEN_UP_UNATTAINABLE("given_up_unattainable"),
+  /** Queries ended because they seemed to bring down the endpoints they ran on. */
+  GIVEN_UP_SUSPECT("given_up_suspect"),
   /** Queries whose client disconnected before the response. */
   CLIENTS_DISCONNECTED("client_left"),
   /** Queries that went on to a second step. */
@@ -58,6 +70,8 @@
   ATTEMPTS_RESET("attempts_reset"),
   /** Attempts that were cancelled. */
   ATTEMPTS_CANCELLED("attempts_given_up"),
+  /** Retries and hedged attempts: attempts of a part beyond its first. */
+  ATTEMPTS_REPEATED("attempts_repeated"),
   /** Attempts that were blocked or withdrawn before they were sent. */
   SENDS_BLOCKED("sends_barred"),
   /** Responses of the load balancer that were blocked as not allowed. */
