--- a/src/main/java/dunlinhitch/experiments/testbed/NetworkFaults.java
+++ b/src/main/java/dunlinhitch/experiments/testbed/NetworkFaults.java
@@ -15,13 +15,15 @@
 public final class NetworkFaults {
   /**
    * The effect on traffic from one end to the other. LOST: it is dropped silently. RESET: the
-   * connection is reset. SLOW: it arrives in chunks of a few bytes. LATE: it is delayed.
+   * connection is reset. SLOW: it arrives in chunks of a few bytes. LATE: it is delayed. HELD: it
+   * waits at the proxy, with all that follows it, until {@link StreamProxy#release}.
    */
   public enum Harm {
     LOST,
     RESET,
     SLOW,
-    LATE
+    LATE,
+    HELD
   }
 
   /**
--- a/src/main/java/dunlinhitch/experiments/testbed/StreamProxy.java
+++ b/src/main/java/dunlinhitch/experiments/testbed/StreamProxy.java
@@ -36,6 +36,7 @@
     private final Deque<Buffer> queue = new ArrayDeque<>();
     private boolean timerPending;
     private boolean stalled;
+    private boolean held;
     private boolean sourceClosed;
 
     Direction(String from, String to, NetSocket out, NetSocket broker) {
@@ -47,27 +48,43 @@
 
     void forward(Buffer bytes) {
       NetworkFaults.Rule rule = links.of(from, to);
-      if (stalled || (rule != null && rule.harm() == NetworkFaults.Harm.LOST)) {
+      NetworkFaults.Harm harm = rule == null ? null : rule.harm();
+      if (stalled || harm == NetworkFaults.Harm.LOST) {
         stalled = true;
         stalledConnections.add(brokerSocket); // a stream delivers nothing behind lost bytes
         return;
       }
-      if (rule != null && rule.harm() == NetworkFaults.Harm.RESET) {
+      if (harm == NetworkFaults.Harm.RESET) {
         reset(Set.of(brokerSocket));
         return;
       }
-      int size =
-          rule != null && rule.harm() == NetworkFaults.Harm.SLOW
-              ? SLOW_CHUNK_BYTES
-              : bytes.length();
-      for (int at = 0; at < bytes.length(); at += size) {
-        queue.add(bytes.getBuffer(at, Math.min(bytes.length(), at + size)));
+      if (held || harm == NetworkFaults.Harm.HELD) {
+        hold(bytes);
+        return;
       }
+      enqueue(bytes, harm == NetworkFaults.Harm.SLOW ? SLOW_CHUNK_BYTES : bytes.length());
       drainQueue(rule == null ? 0 : rule.ms());
     }
 
+    private void enqueue(Buffer bytes, int chunkBytes) {
+      for (int at = 0; at < bytes.length(); at += chunkBytes) {
+        queue.add(bytes.getBuffer(at, Math.min(bytes.length(), at + chunkBytes)));
+      }
+    }
+
+    private void hold(Buffer bytes) {
+      held = true;
+      queue.add(bytes);
+      heldDirections.add(this);
+    }
+
+    void release() {
+      held = false;
+      drainQueue(0);
+    }
+
     private void drainQueue(int ms) {
-      if (timerPending) {
+      if (timerPending || held) {
         return;
       }
       if (queue.isEmpty()) {
@@ -112,6 +129,10 @@
   private final Set<NetSocket> stalledConnections = new LinkedHashSet<>();
 
   private final Set<NetSocket> open = new LinkedHashSet<>();
+
+  /** Directions of connections whose bytes wait here. */
+  private final Set<Direction> heldDirections = new LinkedHashSet<>();
+
   private int acceptedCount;
 
   /**
@@ -152,6 +173,18 @@
     return open.size();
   }
 
+  /** True while bytes wait here under a HELD rule. */
+  public boolean holdsBytes() {
+    return !heldDirections.isEmpty();
+  }
+
+  /** Passes on what waits here; to be called after the HELD rule was removed. */
+  public void release() {
+    Set<Direction> released = Set.copyOf(heldDirections);
+    heldDirections.clear();
+    released.forEach(Direction::release);
+  }
+
   private void onConnect(NetSocket socket) {
     acceptedCount++;
     open.add(socket);
