Flight: a first pass that times out here is cancelled at its store as well

Change: an unconfirmed end of a first pass sends the cancellation whose confirmation releases it, as cut full passes do.

--- a/src/main/java/dunlinhitch/backend/flight/FlightTransport.java
+++ b/src/main/java/dunlinhitch/backend/flight/FlightTransport.java
@@ -233,11 +233,16 @@
   }
 
   private void onFirstPassCompleted(Event.AttemptCompleted completion) {
-    boolean cancelled = !firstPassCalls.containsKey(completion.attempt());
-    if (!cancelled) {
-      complete(completion);
-    } else if (!completion.unconfirmed()) {
-      releaseFirstPass(completion.attempt());
+    SentFirstPass sent = firstPassCalls.get(completion.attempt());
+    if (sent == null) { // it was cancelled
+      if (!completion.unconfirmed()) {
+        releaseFirstPass(completion.attempt());
+      }
+      return;
+    }
+    complete(completion);
+    if (completion.unconfirmed()) {
+      cancelFirstPass(sent, completion.attempt(), true);
     }
   }
 
