Tests: what releases an attempt, on both wires, in reducer and load balancer

Cause: the incident's class stands in several places: cancellations, connections closed here, timeouts of gRPC, first passes.

--- a/src/main/java/dunlinhitch/backend/flight/FlightFirstPassCall.java
+++ b/src/main/java/dunlinhitch/backend/flight/FlightFirstPassCall.java
@@ -69,11 +69,16 @@
     afterSending.run(task);
   }
 
+  /** Ends a call that could not be made. */
+  void fail() {
+    complete(Event.AttemptCompleted.of(part.attempt(), AttemptOutcome.CONNECT_FAILED));
+  }
+
   @Override
   public void run() {
     long nowUs = shared.nowUs();
     if (stopped || mayNotSend.getAsBoolean() || !part.maySendAt(nowUs)) {
-      complete(Event.AttemptCompleted.of(part.attempt(), AttemptOutcome.CONNECT_FAILED));
+      fail();
       return;
     }
     try {
--- a/src/main/java/dunlinhitch/backend/flight/FlightTransport.java
+++ b/src/main/java/dunlinhitch/backend/flight/FlightTransport.java
@@ -14,7 +14,6 @@
 import io.grpc.netty.NettyChannelBuilder;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -58,13 +57,6 @@
    */
   private record SentCall(FlightCall call, long connection) {}
 
-  /**
-   * A first pass in flight.
-   *
-   * @param connection the number of the connection that it was handed to
-   */
-  private record SentFirstPass(FlightFirstPassCall call, long connection) {}
-
   private final FlightTransports shared;
   private final ManagedChannel channel;
   private final FlightClient client;
@@ -74,11 +66,7 @@
   /** The call of each attempt in flight, but for first passes. */
   private final Map<Long, SentCall> calls = new HashMap<>();
 
-  /** First passes in flight, by attempt. */
-  private final Map<Long, SentFirstPass> firstPassCalls = new HashMap<>();
-
-  /** Cancelled first passes whose release is to be reported. */
-  private final Set<Long> unconfirmedFirstPasses = new HashSet<>();
+  private final FlightFirstPasses firstPasses = new FlightFirstPasses(new FirstPassListener());
 
   /** Calls that wait for the channel to be connected. */
   private final PendingCalls pendingCalls = new PendingCalls();
@@ -146,7 +134,7 @@
         && state != ServerState.GONE
         && state != ServerState.WITHDRAWN
         && (state != ServerState.DRAINING || connected)
-        && calls.size() + firstPassCalls.size() + parts.size() <= MAX_IN_FLIGHT;
+        && calls.size() + firstPasses.size() + parts.size() <= MAX_IN_FLIGHT;
   }
 
   /** Connects for the pending calls; if that takes too long, none of them has run. */
@@ -207,18 +195,8 @@
   private void startFirstPass(AttemptRequest part) {
     FlightFirstPassCall call =
         new FlightFirstPassCall(
-            shared,
-            client,
-            part,
-            this::mayNotSend,
-            this::onFirstPassCompleted,
-            this::onFirstPassReply);
-    firstPassCalls.put(part.attempt(), new SentFirstPass(call, connectionNumber));
-    try {
-      shared.readers().execute(call);
-    } catch (RejectedExecutionException e) {
-      complete(part.attempt(), AttemptOutcome.CONNECT_FAILED);
-    }
+            shared, client, part, this::mayNotSend, firstPasses::onCompleted, firstPasses::onReply);
+    firstPasses.start(part, call, connectionNumber);
   }
 
   /**
@@ -232,31 +210,6 @@
         || channel.getState(false) != ConnectivityState.READY;
   }
 
-  private void onFirstPassCompleted(Event.AttemptCompleted completion) {
-    SentFirstPass sent = firstPassCalls.get(completion.attempt());
-    if (sent == null) { // it was cancelled
-      if (!completion.unconfirmed()) {
-        releaseFirstPass(completion.attempt());
-      }
-      return;
-    }
-    complete(completion);
-    if (completion.unconfirmed()) {
-      cancelFirstPass(sent, completion.attempt(), true);
-    }
-  }
-
-  private void onFirstPassReply(Event.FirstPassCompleted reply) {
-    boolean cancelled = firstPassCalls.remove(reply.attempt()) == null;
-    if (cancelled) {
-      releaseFirstPass(reply.attempt());
-      return;
-    }
-    lastReplyUs = shared.nowUs();
-    shared.events().accept(reply);
-    closeIfDrained();
-  }
-
   private void fail(List<AttemptRequest> parts) {
     parts.forEach(part -> complete(part.attempt(), AttemptOutcome.CONNECT_FAILED));
   }
@@ -267,7 +220,6 @@
 
   private void complete(Event.AttemptCompleted completion) {
     calls.remove(completion.attempt());
-    firstPassCalls.remove(completion.attempt());
     if (isReply(completion.outcome())) {
       lastReplyUs = shared.nowUs();
     }
@@ -289,9 +241,7 @@
       }
       return true;
     }
-    SentFirstPass firstPass = firstPassCalls.remove(attempt);
-    if (firstPass != null) {
-      cancelFirstPass(firstPass, attempt, confirm);
+    if (firstPasses.cancel(attempt, confirm)) {
       closeIfDrained();
       return true;
     }
@@ -309,17 +259,6 @@
     return true;
   }
 
-  /** One that was sent ends by its deadline and costs the store little, so it may go on. */
-  private void cancelFirstPass(SentFirstPass firstPass, long attempt, boolean confirm) {
-    FlightFirstPassCall call = firstPass.call();
-    call.stop();
-    if (confirm) {
-      unconfirmedFirstPasses.add(attempt);
-      call.afterSending(
-          () -> notifyCancelled(call.partId(), attempt, firstPass.connection(), true));
-    }
-  }
-
   /**
    * Notifies the store. Its confirmation releases the attempt, unless it may have come over a later
    * connection: there it says nothing about a call that is still on its way.
@@ -335,12 +274,6 @@
         });
   }
 
-  private void releaseFirstPass(long attempt) {
-    if (unconfirmedFirstPasses.remove(attempt)) {
-      release(attempt);
-    }
-  }
-
   private void release(long attempt) {
     shared.events().accept(new Event.AttemptReleased(attempt));
   }
@@ -357,8 +290,8 @@
       complete(attempt, AttemptOutcome.MOOT);
     } else if (calls.containsKey(attempt)) {
       calls.get(attempt).call().stop(attempt);
-    } else if (firstPassCalls.containsKey(attempt)) {
-      firstPassCalls.get(attempt).call().stop();
+    } else {
+      firstPasses.withdraw(attempt);
     }
   }
 
@@ -424,7 +357,7 @@
 
   @Override
   public boolean isIdle() {
-    return calls.isEmpty() && firstPassCalls.isEmpty() && pendingCalls.isEmpty();
+    return calls.isEmpty() && firstPasses.isEmpty() && pendingCalls.isEmpty();
   }
 
   @Override
@@ -437,6 +370,40 @@
     }
   }
 
+  /** Makes first passes and reports how they end. */
+  private final class FirstPassListener implements FlightFirstPasses.Listener {
+    @Override
+    public void start(FlightFirstPassCall call) {
+      try {
+        shared.readers().execute(call);
+      } catch (RejectedExecutionException e) {
+        call.fail();
+      }
+    }
+
+    @Override
+    public void onCompleted(Event.AttemptCompleted completion) {
+      complete(completion);
+    }
+
+    @Override
+    public void onReply(Event.FirstPassCompleted reply) {
+      lastReplyUs = shared.nowUs();
+      shared.events().accept(reply);
+      closeIfDrained();
+    }
+
+    @Override
+    public void onCancelled(String partId, long attempt, long connection) {
+      notifyCancelled(partId, attempt, connection, true);
+    }
+
+    @Override
+    public void onReleased(long attempt) {
+      release(attempt);
+    }
+  }
+
   /** Reports how the attempts of a call end that was handed to one connection. */
   private final class CallListener implements FlightCall.Listener {
     private final long connection;
--- a/src/test/java/dunlinhitch/backend/flight/FlightTransportTest.java
+++ b/src/test/java/dunlinhitch/backend/flight/FlightTransportTest.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The Flight transport to one store against a scripted store, where only its inside shows. */
 class FlightTransportTest {
@@ -237,4 +238,73 @@
     expectCompletion(2, AttemptOutcome.OK);
     assertEquals("q.0", store.cancelledParts.poll(5, TimeUnit.SECONDS));
   }
+
+  private void expectRelease(long attempt) throws InterruptedException {
+    Event event = nextEvent();
+    while (event instanceof Event.ConditionCounted) {
+      event = nextEvent();
+    }
+    assertEquals(new Event.AttemptReleased(attempt), event);
+  }
+
+  @Test
+  void theStoresConfirmationReleasesACancelledAttempt() throws Exception {
+    BackendTransport transport = open(store.port());
+    store.script = part -> part.shard() == 0 ? Behavior.NOTHING : Behavior.GOOD;
+    onLoop(() -> transport.send(List.of(part(1, 0))));
+    assertTrue(store.receivedParts.poll(5, TimeUnit.SECONDS) != null);
+    onLoop(() -> transport.cancel(1, true));
+    expectRelease(1);
+    assertEquals("q.0", store.cancelledParts.poll(5, TimeUnit.SECONDS));
+  }
+
+  /** A timeout of gRPC is this side's own: the store is told, and its confirmation releases. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aTimeoutOfTheCallIsNoEndAtTheStore(boolean firstPass) throws Exception {
+    BackendTransport transport = open(store.port());
+    store.script = part -> part.shard() == 0 ? Behavior.NOTHING : Behavior.GOOD;
+    store.firstAnswer = part -> null;
+    onLoop(() -> transport.send(List.of(part(1, 1))));
+    expectCompletion(1, AttemptOutcome.OK);
+    onLoop(
+        () ->
+            transport.send(
+                List.of(
+                    new AttemptRequest(
+                        2,
+                        "q.0",
+                        0,
+                        "",
+                        nowUs() + 200_000,
+                        Long.MAX_VALUE,
+                        "text",
+                        firstPass,
+                        null))));
+    Event event = nextEvent();
+    while (event instanceof Event.ConditionCounted) {
+      event = nextEvent();
+    }
+    assertTrue(
+        event instanceof Event.AttemptCompleted lost
+            && lost.attempt() == 2
+            && lost.outcome() == AttemptOutcome.RESET
+            && lost.unconfirmed(),
+        "came: " + event);
+    expectRelease(2);
+  }
+
+  /** Over a later connection the confirmation may overtake the call itself. */
+  @Test
+  void aConfirmationOverALaterConnectionReleasesNothing() throws Exception {
+    BackendTransport transport = open(store.port());
+    store.script = part -> part.shard() == 0 ? Behavior.NOTHING : Behavior.GOOD;
+    onLoop(() -> transport.send(List.of(part(1, 0))));
+    assertTrue(store.receivedParts.poll(5, TimeUnit.SECONDS) != null);
+    advancedUs = 1_500_000; // so late without any reply the connection counts as dead
+    onLoop(() -> transport.cancel(1, true));
+    assertEquals("q.0", store.cancelledParts.poll(5, TimeUnit.SECONDS));
+    onLoop(() -> transport.send(List.of(part(2, 1))));
+    expectCompletion(2, AttemptOutcome.OK);
+  }
 }
--- /dev/null
+++ b/src/test/java/dunlinhitch/backend/frames/ConnectionEndTest.java
@@ -0,0 +1,41 @@
+package dunlinhitch.backend.frames;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.SocketException;
+import java.nio.channels.ClosedChannelException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Which ends of a connection prove that the store has seen the end. */
+class ConnectionEndTest {
+  private final ConnectionEnd end = new ConnectionEnd();
+
+  /** The kernel gave up, or a router replied: the store may still have what it was sent. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"Connection timed out", "No route to host", "Network is unreachable", "Bad file"})
+  void anErrorOfTheNetworkProvesNothing(String message) {
+    end.onFailure(new IOException(message));
+    assertEquals(false, end.isKnownToStore());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"Connection timed out", "No route to host"})
+  void soDoesOneThatAWriteMeets(String message) {
+    end.onWriteFailure(new IOException(message));
+    assertEquals(false, end.isKnownToStore());
+  }
+
+  @Test
+  void anEndOfStreamOrAResetComesFromTheStore() {
+    assertEquals(true, end.isKnownToStore());
+    end.onFailure(new SocketException("Connection reset"));
+    end.onWriteFailure(new IOException("Broken pipe"));
+    end.onWriteFailure(new IOException("Connection reset by peer"));
+    end.onWriteFailure(new ClosedChannelException()); // written after the reset was read
+    assertEquals(true, end.isKnownToStore());
+  }
+}
--- a/src/test/java/dunlinhitch/backend/frames/FrameTransportFixture.java
+++ b/src/test/java/dunlinhitch/backend/frames/FrameTransportFixture.java
@@ -27,6 +27,8 @@
   final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   final BlockingQueue<Event.AttemptCompleted> completions = new LinkedBlockingQueue<>();
 
+  final BlockingQueue<Long> releases = new LinkedBlockingQueue<>();
+
   /** How far the test has advanced the clock. */
   final AtomicLong advancedUs = new AtomicLong();
 
@@ -87,6 +89,8 @@
         event -> {
           if (event instanceof Event.AttemptCompleted completion) {
             completions.add(completion);
+          } else if (event instanceof Event.AttemptReleased released) {
+            releases.add(released.attempt());
           }
         });
   }
@@ -105,6 +109,12 @@
     return new AttemptRequest(attempt, "q." + shard, shard, "", nowUs() + 60_000_000, "text");
   }
 
+  final long nextRelease() throws InterruptedException {
+    Long released = releases.poll(5, TimeUnit.SECONDS);
+    assertTrue(released != null, "nothing was released");
+    return released;
+  }
+
   final Event.AttemptCompleted nextCompletion() throws InterruptedException {
     Event.AttemptCompleted completion = completions.poll(5, TimeUnit.SECONDS);
     assertTrue(completion != null, "no end came");
--- a/src/test/java/dunlinhitch/balancer/LoadBalancerTest.java
+++ b/src/test/java/dunlinhitch/balancer/LoadBalancerTest.java
@@ -6,6 +6,8 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Properties of the load balancer as one unit. */
 class LoadBalancerTest {
@@ -23,6 +25,28 @@
     assertEquals(one.actions, two.actions);
   }
 
+  /** The release of an attempt may come ahead of its end, which the caller may defer. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aPartIsRetriedOnceItsAttemptHasEndedAndIsReleased(boolean releasedFirst) {
+    SettingsBuilder settings = new SettingsBuilder();
+    settings.parallelAttempts = false;
+    BalancerHarness balancer = BalancerHarness.withTwoServers(settings);
+    balancer.query(0, CLIENT_TIMEOUT_US, 0);
+    BalancerHarness.SentAttempt first = balancer.lastSent();
+    BalancerEvent end =
+        new BalancerEvent.AttemptCompleted(
+            first.part(), 0, AttemptOutcome.TIMEOUT, first.server(), 5, false, new float[0], true);
+    BalancerEvent release = new BalancerEvent.AttemptReleased(first.part());
+    balancer.handle(releasedFirst ? release : end);
+    balancer.advance(100_000);
+    assertEquals(1, balancer.sends.size());
+    balancer.handle(releasedFirst ? end : release);
+    assertEquals(2, balancer.sends.size());
+    balancer.complete(balancer.lastSent(), AttemptOutcome.ERROR);
+    assertEquals(3, balancer.sends.size(), "an ordinary end needs no release");
+  }
+
   @Test
   void unexpectedEventsAreIgnoredAndTheLedgerStaysBalanced() {
     BalancerHarness balancer = BalancerHarness.withTwoServers(new SettingsBuilder());
--- a/src/test/java/dunlinhitch/core/AttemptLifecycleTest.java
+++ b/src/test/java/dunlinhitch/core/AttemptLifecycleTest.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Attempts as the reducer batches, cancels, withdraws and limits them. */
 class AttemptLifecycleTest extends ReducerTestSupport {
@@ -66,6 +68,29 @@
     assertEquals(0, quickReducer.counters().get(Counter.SENDS_BLOCKED));
   }
 
+  /** The connection was given up here: the retry waits until the endpoint has seen that. */
+  @ParameterizedTest
+  @EnumSource(
+      value = AttemptOutcome.class,
+      names = {"OK", "MOOT"})
+  void aPartOfALostConnectionIsRetriedOnlyAfterItsRelease(AttemptOutcome lateReply) {
+    listBothEndpoints();
+    turn(queryReceived(1, 0, 1));
+    long lost = attemptsIn(effects).get(0).attempt();
+    effects.clear();
+    turn(Event.AttemptCompleted.unconfirmed(lost, AttemptOutcome.RESET));
+    runFor(200_000);
+    assertEquals(List.of(), attemptsIn(effects));
+    turn(
+        lateReply == AttemptOutcome.OK
+            ? Event.AttemptCompleted.of(lost, AttemptOutcome.OK) // it answers after all
+            : new Event.AttemptReleased(lost));
+    assertEquals(1, attemptsIn(effects).size());
+    turn(new Event.AttemptReleased(lost), new Event.AttemptReleased(lost));
+    assertEquals(1, attemptsIn(effects).size(), "a second release is none");
+    assertEquals(0, reducer.counters().get(Counter.SENDS_BLOCKED));
+  }
+
   @Test
   void anAttemptStartedAndCancelledInOneTurnIsNeverSent() {
     listBothEndpoints();
--- a/src/test/java/dunlinhitch/core/TwoPhaseStageTest.java
+++ b/src/test/java/dunlinhitch/core/TwoPhaseStageTest.java
@@ -72,6 +72,46 @@
     assertEquals(0, twoPhaseReducer.counters().get(Counter.FAULTS));
   }
 
+  /** A first pass that is late is cancelled; its full pass waits until its endpoint knows. */
+  @Test
+  void aFullPassWaitsForTheReleaseOfItsFirstPass() {
+    Reducer twoPhaseReducer =
+        new Reducer(
+            BrokerFixture.settings(300),
+            null,
+            List.of(new TwoPhaseSettings("free-search", 0.3, 2, 1, 0, 0.05, SECOND)),
+            7,
+            now);
+    twoPhaseReducer.turn(
+        now,
+        List.of(
+            new Event.EndpointsUpdated(
+                ServerListKind.FULL,
+                List.of(
+                    endpoint("a", 0, ServerState.READY).phases(2),
+                    endpoint("b", 1, ServerState.READY).phases(2)))));
+    QueryClass queryClass = twoPhaseReducer.settings().classes().get(0);
+    List<Effect.AttemptRequest> firstPasses =
+        attemptsIn(
+            twoPhaseReducer.turn(
+                now, List.of(new Event.QueryReceived(1, queryOfTwoParts("q", queryClass)))));
+    assertEquals(2, firstPasses.size());
+    List<Effect> cancelled = new ArrayList<>();
+    for (int i = 0; i < 80; i++) { // the first pass ends within these 400 ms
+      now += 5_000;
+      List<Effect> turn = twoPhaseReducer.turn(now, List.of());
+      assertEquals(List.of(), attemptsIn(turn));
+      turn.stream().filter(Effect.CancelAttempt.class::isInstance).forEach(cancelled::add);
+    }
+    assertEquals(2, cancelled.size());
+    now += 5_000;
+    List<Effect.AttemptRequest> fullPasses =
+        attemptsIn(twoPhaseReducer.turn(now, releasesOf(cancelled)));
+    assertEquals(2, fullPasses.size());
+    assertTrue(fullPasses.stream().noneMatch(Effect.AttemptRequest::firstPass));
+    assertEquals(0, twoPhaseReducer.counters().get(Counter.SENDS_BLOCKED));
+  }
+
   private QueryRequest queryOfTwoParts(String id, QueryClass queryClass) {
     return new QueryRequest(
         id,
