Accept: a failure is retried within milliseconds, also while the listener closes

Cause: an accept that fails for a moment (ECONNABORTED, ENFILE, ENOBUFS) reached Netty, which stops reading a listener for one second and turns it on again even after stopAccepting; at the close one failure ended the emptying of the queue, so that queued clients were reset. Change: ClientListener passes over the failure, pauses 5 ms as at its bound, and retries up to 64 times while it empties its queue.

--- a/src/main/java/dunlinhitch/frontend/http/ClientListener.java
+++ b/src/main/java/dunlinhitch/frontend/http/ClientListener.java
@@ -33,6 +33,16 @@
 public final class ClientListener extends NioTransport implements Transport {
   private static final long RETRY_ACCEPT_MS = 5;
 
+  /** Failures of accept that are passed over while the queue is emptied before the close. */
+  private static final int MAX_FAILURES_AT_CLOSE = 64;
+
+  /** Takes the next queued connection; null where there is none. */
+  interface Acceptor {
+    SocketChannel accept(ServerSocketChannel listener) throws IOException;
+  }
+
+  private final Acceptor acceptor;
+
   /** Null where the socket is created by binding. */
   private final ServerSocketChannel inheritedChannel;
 
@@ -50,7 +60,13 @@
    *     starts
    */
   public ClientListener(ServerSocketChannel inheritedChannel) {
+    this(inheritedChannel, ServerSocketChannel::accept);
+  }
+
+  /** Creates a listener that accepts by other means. */
+  ClientListener(ServerSocketChannel inheritedChannel, Acceptor acceptor) {
     this.inheritedChannel = inheritedChannel;
+    this.acceptor = acceptor;
   }
 
   /** True where another process may accept from the same socket. */
@@ -160,6 +176,7 @@
 
   private final class AcceptingChannel extends NioServerSocketChannel {
     private int acceptedCount;
+    private int failureCount;
 
     AcceptingChannel() {
       // bound as any other channel
@@ -172,11 +189,19 @@
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
       if (open() >= maxOpen) {
-        config().setAutoRead(false);
-        scheduleResume();
+        pause();
+        return 0;
+      }
+      SocketChannel socket;
+      try {
+        socket = acceptor.accept(javaChannel());
+      } catch (IOException e) {
+        // the client left its place in the queue, or the system is short of descriptors or memory:
+        // the listener is sound, and Netty would pause it for a second
+        failureCount++;
+        pause();
         return 0;
       }
-      SocketChannel socket = javaChannel().accept();
       if (socket == null) {
         return 0;
       }
@@ -188,6 +213,11 @@
       return 1;
     }
 
+    private void pause() {
+      config().setAutoRead(false);
+      scheduleResume();
+    }
+
     @SuppressWarnings("FutureReturnValueIgnored") // the task handles its own failure
     private void scheduleResume() {
       eventLoop().schedule(this::resumeAccepting, RETRY_ACCEPT_MS, TimeUnit.MILLISECONDS);
@@ -195,10 +225,15 @@
 
     private void acceptQueuedAndClose(Runnable done) {
       int countBefore;
+      int failuresBefore;
+      int failures = 0;
       do {
         countBefore = acceptedCount;
+        failuresBefore = failureCount;
         unsafe().read();
-      } while (acceptedCount > countBefore);
+        failures += failureCount - failuresBefore;
+      } while (acceptedCount > countBefore
+          || (failureCount > failuresBefore && failures < MAX_FAILURES_AT_CLOSE));
       close().addListener(closed -> done.run());
     }
 
