Starts of endpoints are bounded by when they were first seen, not by the wall clock

Cause: MicroClock takes the wall clock once and discovery's startedAtMs was compared with it: after a step by an hour a store that had just started looked long warm (its slow-start budget did not bind), or a warm one cold for that hour. Shown by StartTimesTest on the old lines. Change: StartTimes translates a start first seen after the first list by the smallest difference seen so far between report and sight, which no step can falsify; starts of the first list are never in the future. Brokers of a cluster name a process by the start as reported. Open: a start in the first list of a process whose wall clock is ahead; nothing that a broker is told shows that.

--- a/src/main/java/dunlinhitch/core/ClusterStage.java
+++ b/src/main/java/dunlinhitch/core/ClusterStage.java
@@ -100,22 +100,26 @@
     List<ClusterCoordinator.ListedEndpoint> listed = new ArrayList<>();
     List<String> removed = new ArrayList<>();
     for (ServerEntry entry : update.servers()) {
-      String name = registry.endpoints.get(entry.id()).name();
+      TrackedEndpoint endpoint = registry.endpoints.get(entry.id());
+      String name = endpoint.name();
       subsetPublisher.track(entry);
       if (entry.state() == ServerState.GONE) {
         removed.add(name);
       } else {
-        listed.add(listedEndpoint(name, entry));
+        listed.add(listedEndpoint(endpoint, entry));
       }
     }
     coordinator.onEndpointsChanged(context.nowUs(), listed, removed);
     subsetPublisher.publish(update);
   }
 
-  private ClusterCoordinator.ListedEndpoint listedEndpoint(String name, ServerEntry entry) {
-    long startedMs = entry.startedUs() <= 0 ? 0 : (entry.startedUs() + wallClockOffsetUs) / 1000;
+  /** Members name a process by its start as reported, which is the same for all of them. */
+  private ClusterCoordinator.ListedEndpoint listedEndpoint(
+      TrackedEndpoint endpoint, ServerEntry entry) {
+    long reportedUs = endpoint.endpoint.startedUs();
+    long startedMs = reportedUs <= 0 ? 0 : (reportedUs + wallClockOffsetUs) / 1000;
     return new ClusterCoordinator.ListedEndpoint(
-        name,
+        endpoint.name(),
         Integer.toString(entry.cell()),
         Integer.toString(entry.zone()),
         startedMs,
--- a/src/main/java/dunlinhitch/core/EndpointStage.java
+++ b/src/main/java/dunlinhitch/core/EndpointStage.java
@@ -38,6 +38,7 @@
   private final InFlightRegistry registry;
   private final Counters counters;
   private final DiscoveryFreshness freshness;
+  private final StartTimes startTimes = new StartTimes();
   private final Consumer<BalancerEvent> balancer;
 
   /** Endpoints that have left the list and still have attempts in flight. */
@@ -105,6 +106,9 @@
     boolean complete = event.kind() != ServerListKind.DELTA;
     long notifiedUs = freshness.earliestNotificationUs();
     apply(notifiedUs, endpointRegistry.update(nowUs, DISCOVERY, complete, claims));
+    if (event.kind() != ServerListKind.CACHED) {
+      startTimes.onListReceived();
+    }
     freshness.onUpdateApplied(event.kind());
   }
 
@@ -165,6 +169,7 @@
       if (tracked == null) {
         tracked = track(endpoint);
       }
+      updateStart(tracked, endpoint, change.announced());
       update(tracked, endpoint, notifiedUs);
       entries.add(serverEntry(tracked));
     }
@@ -182,6 +187,16 @@
     return tracked;
   }
 
+  /** An announced endpoint has its start by this broker's clock. */
+  private void updateStart(TrackedEndpoint tracked, Endpoint endpoint, boolean announced) {
+    if (announced) {
+      tracked.startedUs = endpoint.startedUs();
+    } else if (tracked.startSeenUs != endpoint.startedUs()) {
+      tracked.startSeenUs = endpoint.startedUs();
+      tracked.startedUs = startTimes.localStartUs(endpoint.startedUs(), context.nowUs());
+    }
+  }
+
   private void update(TrackedEndpoint tracked, Endpoint endpoint, long notifiedUs) {
     // only what was ready has a grace period when it drains: what was gone, or is new, has none
     boolean involvesReady =
@@ -207,7 +222,7 @@
         endpoint.cell(),
         endpoint.state(),
         endpoint.weight(),
-        endpoint.startedUs());
+        tracked.startedUs);
   }
 
   private void removeDeparted() {
--- a/src/main/java/dunlinhitch/core/TrackedEndpoint.java
+++ b/src/main/java/dunlinhitch/core/TrackedEndpoint.java
@@ -13,6 +13,12 @@
 
   Endpoint endpoint;
 
+  /** When its process started on this broker's clock, in microseconds; 0: a long time ago. */
+  long startedUs;
+
+  /** The start that discovery reported last, Unix time in microseconds; 0: a long time ago. */
+  long startSeenUs;
+
   /**
    * When the last change from or to {@code READY} may have been notified at the earliest, in
    * microseconds; the grace period of draining runs from then.
