--- a/src/main/java/dunlinhitch/balancer/LoadBalancer.java
+++ b/src/main/java/dunlinhitch/balancer/LoadBalancer.java
@@ -1,6 +1,7 @@
 package dunlinhitch.balancer;
 
 import dunlinhitch.balancer.BalancerEvent.AttemptCompleted;
+import dunlinhitch.balancer.BalancerEvent.AttemptReleased;
 import dunlinhitch.balancer.BalancerEvent.ClientDisconnected;
 import dunlinhitch.balancer.BalancerEvent.HealthCheckCompleted;
 import dunlinhitch.balancer.BalancerEvent.PartArrived;
@@ -78,6 +79,8 @@
       onPartArrived(arrived);
     } else if (event instanceof AttemptCompleted completed) {
       onAttemptCompleted(completed);
+    } else if (event instanceof AttemptReleased released) {
+      onAttemptReleased(released);
     } else if (event instanceof HealthCheckCompleted completed) {
       healthChecks.onCompleted(completed);
     } else if (event instanceof ServerListUpdated updated) {
@@ -137,7 +140,7 @@
       return;
     }
     if (context.nowUs() >= estimators.deadlines.giveUpUs(query)) {
-      completion.giveUp(query);
+      completion.giveUp(query, GiveUpReason.TIME_OVER);
     } else if (!healthChecks.defer(query)) {
       admission.admit(query);
     }
@@ -150,18 +153,30 @@
       return;
     }
     attempt.end(context.nowUs());
+    part.unconfirmedAttempts += event.unconfirmed() ? 1 : 0;
     feedback.onCompleted(attempt, event);
     correctAttemptCounts(attempt, event.outcome());
     if (event.outcome() == AttemptOutcome.RESET) {
       canary.onReset(attempt);
     }
     if (!part.query.ended && canary.isSuspect(part.query)) {
-      completion.giveUp(part.query);
+      completion.giveUp(part.query, GiveUpReason.SUSPECT);
     }
     advance(part, event);
     queries.removeIfFinished(part);
   }
 
+  private void onAttemptReleased(AttemptReleased event) {
+    Part part = queries.part(event.part());
+    if (part == null) {
+      return;
+    }
+    part.unconfirmedAttempts--;
+    if (part.requested && !part.query.ended) {
+      attempts.request(part);
+    }
+  }
+
   /** Takes back what was counted at the send of an attempt that turns out to have had no effect. */
   private void correctAttemptCounts(Attempt attempt, AttemptOutcome outcome) {
     Part part = attempt.part;
@@ -185,7 +200,7 @@
       attempts.request(part);
     }
     if (!query.ended && !answered && completion.isUnattainable(query)) {
-      completion.giveUp(query);
+      completion.giveUp(query, GiveUpReason.UNATTAINABLE);
     }
   }
 
