Hot restart: budgets stay halved until the other process is known to have ended

Cause: the incident's class in another place: a new process took its predecessor for ended 6 s after its own start (OVERLAP_US), and the old one knew of its successor only once it was asked to end; meanwhile both together had one and a half of a warming store's budget, or twice. Change: each process holds a lock on a file of its own in the shared folder; OverlapMonitor watches the others' locks, which the operating system frees when a process ends. Six seconds stay for a predecessor of a release that holds no lock.

--- a/src/main/java/dunlinhitch/server/Broker.java
+++ b/src/main/java/dunlinhitch/server/Broker.java
@@ -20,8 +20,14 @@
  * event loop. All methods are called on that event loop.
  */
 public final class Broker {
-  /** A new process that replaces an old one overlaps with it for so long from its start on. */
-  private static final long OVERLAP_US = 6_000_000;
+  /**
+   * For so long a new process takes its predecessor for alive where that one is of a release that
+   * holds no lock, so that its end can not be seen.
+   */
+  private static final long UNSEEN_OVERLAP_US = 6_000_000;
+
+  /** Folder of the processes' locks, below the folder that processes of a broker share. */
+  private static final String LOCK_FOLDER = "processes";
 
   private static final String STOPPED_BEFORE_LISTENING = "it was asked to end before it listened";
 
@@ -43,6 +49,9 @@
   /** Null unless the product's settings file has a {@code [fleet]}: its classes stay unloaded. */
   private final ClusterGossip clusterGossip;
 
+  /** Null where there is no folder that processes of this broker share. */
+  private final OverlapMonitor overlapMonitor;
+
   /** True once clients may have been accepted. */
   private boolean opened;
 
@@ -83,6 +92,11 @@
     endpointSources = new EndpointSources(runtime, reducer, loop);
     readiness = new Readiness(endpointSources, reducer, clock, startUs);
     configurationReloader = new ConfigurationReloader(runtime, loop);
+    overlapMonitor =
+        config.sharedFolder() == null
+            ? null
+            : new OverlapMonitor(
+                vertx, config.sharedFolder().resolve(LOCK_FOLDER), clock, loop, runtime.log());
     loop.setEffectHandler(effectDispatcher());
     loop.accept(
         new Event.DiscoveryConfigured(config.discovery().host(), config.discovery().port()));
@@ -151,10 +165,28 @@
       return Future.failedFuture(STOPPED_BEFORE_LISTENING);
     }
     opened = true;
-    if (shared && hasPredecessor) { // which is asked to end only after this process is ready
-      loop.accept(new Event.OverlapStarted(clock.getAsLong() + OVERLAP_US));
+    return watchForOverlap(hasPredecessor).compose(v -> frontends.listen());
+  }
+
+  /** Where another process may accept from the same socket, both keep to half of shared budgets. */
+  private Future<Void> watchForOverlap(boolean hasPredecessor) {
+    if (!shared) {
+      return Future.succeededFuture();
     }
-    return frontends.listen();
+    Future<Boolean> seen =
+        overlapMonitor == null ? Future.succeededFuture(false) : overlapMonitor.start();
+    return seen.otherwise(
+            cause -> {
+              runtime.log().accept("other processes of this broker can not be seen: " + cause);
+              return false;
+            })
+        .map(
+            overlapping -> {
+              if (hasPredecessor && !overlapping) {
+                loop.accept(new Event.OverlapStarted(clock.getAsLong() + UNSEEN_OVERLAP_US));
+              }
+              return null;
+            });
   }
 
   private Future<Void> listenForGossip() {
@@ -200,6 +232,9 @@
     loop.accept(new Event.DrainStarted(deadlines.lastResponseUs()));
     schedule(nowUs, deadlines.closedUs(), ended::tryComplete);
     if (shared) {
+      if (overlapMonitor != null) {
+        overlapMonitor.stop();
+      }
       loop.accept(new Event.OverlapStarted(Long.MAX_VALUE));
       frontends.leaveToSibling();
     }
--- /dev/null
+++ b/src/main/java/dunlinhitch/server/ProcessLocks.java
@@ -0,0 +1,75 @@
+package dunlinhitch.server;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.UUID;
+import java.util.stream.Stream;
+
+/**
+ * Which other processes of the same broker are alive. Each holds a lock on a file of its own in a
+ * folder that they share; the operating system releases it when the process ends, in whatever way,
+ * and not before.
+ *
+ * <p>Blocking and not thread-safe: for one worker thread at a time.
+ */
+final class ProcessLocks implements AutoCloseable {
+  private final Path folder;
+  private final Path ownFile;
+  private FileChannel ownChannel;
+
+  ProcessLocks(Path folder) {
+    this.folder = folder;
+    ownFile = folder.resolve(UUID.randomUUID() + ".lock");
+  }
+
+  /** Makes this process known to the others. */
+  void acquire() throws IOException {
+    Files.createDirectories(folder);
+    ownChannel = FileChannel.open(ownFile, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+    ownChannel.lock();
+  }
+
+  /** Counts the other processes that are alive; removes the files of those that have ended. */
+  int countOthers() throws IOException {
+    List<Path> others;
+    try (Stream<Path> files = Files.list(folder)) {
+      others = files.filter(file -> !file.equals(ownFile)).toList();
+    }
+    int alive = 0;
+    for (Path other : others) {
+      if (isLocked(other)) {
+        alive++;
+      } else {
+        Files.deleteIfExists(other);
+      }
+    }
+    return alive;
+  }
+
+  private static boolean isLocked(Path file) throws IOException {
+    try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE);
+        FileLock lock = channel.tryLock()) {
+      return lock == null;
+    } catch (OverlappingFileLockException e) {
+      return true; // held within this virtual machine
+    } catch (NoSuchFileException e) {
+      return false; // another process has just removed it
+    }
+  }
+
+  /** Ends this process's claim. */
+  @Override
+  public void close() throws IOException {
+    if (ownChannel != null) {
+      ownChannel.close();
+      Files.deleteIfExists(ownFile);
+    }
+  }
+}
