The last known endpoint list: failed writes are repeated, the folder is forced too

Cause: a write that failed (ENOSPC, EIO) counted as the saved version, so that it was not repeated until the list changed or 30 s had passed; at the end of the process a change behind a write under way was not saved; the rename was not forced to the disk. Change: EndpointListSaver, split from DnsSources: a failure is counted (state_writes_failed), logged, and repeated at the next interval; the last save waits for the one under way; EndpointListFile forces the folder. Measured: EndpointListSaverTest, EndpointListFileTest, DnsDiscoveryTest, ProductTest and MetricsTextTest pass.

--- a/src/main/java/dunlinhitch/core/Counter.java
+++ b/src/main/java/dunlinhitch/core/Counter.java
@@ -104,6 +104,8 @@
   ENDPOINTS_REMOVED("members_gone"),
   /** Claims that were rejected. */
   CLAIMS_REJECTED("members_refused"),
+  /** Writes of the last known endpoint list to disk that failed. */
+  STATE_WRITES_FAILED("state_writes_failed"),
   /** DNS messages that answer no open request. */
   DNS_STRAYS("dns_strays"),
   /** DNS answers from a server without authority. */
--- a/src/main/java/dunlinhitch/discovery/EndpointListFile.java
+++ b/src/main/java/dunlinhitch/discovery/EndpointListFile.java
@@ -14,7 +14,8 @@
 
 /**
  * The last known claims on disk, in the form of {@link EndpointListFormat}. Written under another
- * name, forced to the disk and renamed, so that a reader finds the old content or the new one.
+ * name, forced to the disk and renamed, so that a reader finds the old content or the new one; the
+ * folder is forced as well.
  *
  * <p>Blocking: for worker threads and the start of the process. One writer at a time.
  */
@@ -68,6 +69,14 @@
     }
     Files.move(
         temporary, path(), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    forceFolder();
+  }
+
+  /** The new name is an entry of the folder: without this a crash may bring the old file back. */
+  private void forceFolder() throws IOException {
+    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+      channel.force(true);
+    }
   }
 
   /**
--- a/src/main/java/dunlinhitch/server/DnsSources.java
+++ b/src/main/java/dunlinhitch/server/DnsSources.java
@@ -31,11 +31,6 @@
  * <p>Runs on the event loop; the state is written on a worker thread.
  */
 public final class DnsSources {
-  private static final long SAVE_INTERVAL_MS = 1_000;
-
-  /** An unchanged state is written again after so long, so that the ages in it stay correct. */
-  private static final long MAXIMUM_SAVE_AGE_US = 30_000_000;
-
   private static final long MICROS_PER_SECOND = 1_000_000;
 
   private final Vertx vertx;
@@ -45,12 +40,12 @@
   private final Supplier<EndpointRegistry> endpointRegistry;
   private final List<DnsDiscoverySource> sources = new ArrayList<>();
   private final EndpointListFile file;
+
+  /** Null where no state is kept on disk. */
+  private final EndpointListSaver saver;
+
   private final RecordRegistrar registrar;
   private boolean restored;
-  private boolean saveInProgress;
-  private boolean saveFailureLogged;
-  private long savedVersion = -1;
-  private long savedUs;
 
   DnsSources(
       BrokerRuntime runtime,
@@ -72,6 +67,7 @@
       }
     }
     file = product.stateDir() == null ? null : new EndpointListFile(product.stateDir());
+    saver = file == null ? null : new EndpointListSaver(vertx, file, clock, events, log);
     registrar =
         product.announcement() == null
             ? null
@@ -162,7 +158,8 @@
     } catch (IOException exception) {
       log.accept(exception.getMessage());
     }
-    vertx.setPeriodic(SAVE_INTERVAL_MS, t -> save());
+    vertx.setPeriodic(
+        EndpointListSaver.SAVE_INTERVAL_MS, t -> saver.saveIfChanged(endpointRegistry.get()));
   }
 
   /** Passes on the saved claims of the sources that are still configured, with their ages. */
@@ -184,34 +181,6 @@
     }
   }
 
-  private Future<Void> save() {
-    EndpointRegistry registry = endpointRegistry.get();
-    long nowUs = clock.getAsLong();
-    if (saveInProgress
-        || (registry.version() == savedVersion && nowUs < savedUs + MAXIMUM_SAVE_AGE_US)) {
-      return Future.succeededFuture();
-    }
-    saveInProgress = true;
-    savedVersion = registry.version();
-    savedUs = nowUs;
-    List<EndpointRegistry.Row> rows = registry.rows();
-    return vertx
-        .<Void>executeBlocking(
-            () -> {
-              file.write(nowUs, rows);
-              return null;
-            })
-        .onComplete(
-            done -> {
-              saveInProgress = false;
-              if (done.failed() && !saveFailureLogged) {
-                log.accept("the last known state can not be kept: " + done.cause());
-              }
-              saveFailureLogged = done.failed();
-            })
-        .otherwiseEmpty();
-  }
-
   /** Registers this broker in DNS, where that is configured: it accepts clients. */
   void register() {
     if (registrar != null) {
@@ -231,6 +200,6 @@
     if (registrar != null) {
       registrar.close();
     }
-    return file == null ? Future.succeededFuture() : save();
+    return saver == null ? Future.succeededFuture() : saver.saveLast(endpointRegistry.get());
   }
 }
