Settings header without a kind and query body without a field get errors of their own

Cause: a header line [ ] was read as a section of no kind, which ended in a NullPointerException of the schema; a missing range or portion was answered with the text of a NullPointerException. Measured: SyntaxReaderTest and QueryReaderTest fail on the old lines by reading and pass now, with ProductTest, HttpFrontendTest, LineLexerTest.

--- a/src/main/java/dunlinhitch/config/syntax/SyntaxReader.java
+++ b/src/main/java/dunlinhitch/config/syntax/SyntaxReader.java
@@ -29,9 +29,6 @@
   private static final String HEADER_START = "[";
   private static final String HEADER_END = "]";
 
-  /** Length of the shortest header: a kind of one character in brackets. */
-  private static final int MIN_HEADER_LENGTH = 3;
-
   private final List<Section> sections = new ArrayList<>();
   private final Deque<Path> openFiles = new ArrayDeque<>();
   private int totalLines;
@@ -128,10 +125,11 @@
   private void beginSection(Directive header, String line) {
     int comment = line.indexOf('#');
     String text = (comment < 0 ? line : line.substring(0, comment)).trim();
-    if (!text.endsWith(HEADER_END) || text.length() < MIN_HEADER_LENGTH) {
+    String content = text.endsWith(HEADER_END) ? text.substring(1, text.length() - 1).trim() : "";
+    if (content.isEmpty()) {
       throw header.error("a section begins with [KIND] or [KIND NAME] on a line of its own");
     }
-    String[] parts = text.substring(1, text.length() - 1).trim().split("\\s+", 2);
+    String[] parts = content.split("\\s+", 2);
     String label = parts.length < 2 ? "" : parts[1];
     sections.add(new Section(parts[0], label, header, new ArrayList<>()));
   }
--- a/src/main/java/dunlinhitch/frontend/QueryReader.java
+++ b/src/main/java/dunlinhitch/frontend/QueryReader.java
@@ -99,10 +99,7 @@
     long leftUs = timeoutUs(queryClass, header.apply(EXPIRES_IN));
     try {
       JsonObject object = Json.parse(body).asObject();
-      JsonValue text = object.get("predicate");
-      if (text == null) {
-        throw new MalformedQueryException("predicate is missing");
-      }
+      JsonValue text = required(object, "predicate");
       return new QueryRequest(
           id,
           key,
@@ -114,8 +111,7 @@
           text.asString(),
           FLAG_SET.equals(header.apply(SHOW_PRUNED)));
     } catch (RuntimeException e) {
-      // the JSON library throws several unrelated types for a value of the wrong kind, and a
-      // missing one is a NullPointerException
+      // the JSON library throws several unrelated types for a value of the wrong kind
       throw new MalformedQueryException("the body is no query: " + e.getMessage());
     }
   }
@@ -176,8 +172,8 @@
 
   private static QueryRequest.PartRequest part(
       JsonObject object, int shards, Set<Integer> shardsSoFar) throws MalformedQueryException {
-    int shard = object.get("range").asInt();
-    double portion = object.get("portion").asDouble();
+    int shard = required(object, "range").asInt();
+    double portion = required(object, "portion").asDouble();
     double price = object.getDouble("price", 0);
     boolean exists = shard >= 0 && (shards <= 0 || shard < shards);
     if (!exists || !shardsSoFar.add(shard)) {
@@ -189,6 +185,15 @@
     return new QueryRequest.PartRequest(shard, portion, (long) price);
   }
 
+  private static JsonValue required(JsonObject object, String field)
+      throws MalformedQueryException {
+    JsonValue value = object.get(field);
+    if (value == null) {
+      throw new MalformedQueryException(field + " is missing");
+    }
+    return value;
+  }
+
   private static String token(UnaryOperator<String> header, String name)
       throws MalformedQueryException {
     String value = header.apply(name);
