Soak: processes of the program under drawn faults, judged only from outside

The test bed's proxies pass on half-closed connections; they ended both directions at once, which no network does. Missing of what is wanted: slow-start budget, memory and descriptors, replacement of brokers, clock, failing system calls and disk.

--- a/src/main/java/dunlinhitch/experiments/ExperimentsCommand.java
+++ b/src/main/java/dunlinhitch/experiments/ExperimentsCommand.java
@@ -5,6 +5,7 @@
 import dunlinhitch.experiments.modelchecker.ExploreCommand;
 import dunlinhitch.experiments.modelchecker.Models;
 import dunlinhitch.experiments.simulation.SimulationCommands;
+import dunlinhitch.experiments.soak.SoakCommand;
 import dunlinhitch.experiments.testbed.TestBedCommand;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -26,7 +27,8 @@
       SimulationCommands.Show.class,
       TestBedCommand.class,
       ExploreCommand.class,
-      FloorsCommand.class
+      FloorsCommand.class,
+      SoakCommand.class
     })
 public final class ExperimentsCommand implements Callable<Integer> {
   @Override
@@ -40,6 +42,8 @@
     System.out.println(
         "lab measure NAME [--seed N] [--quick]; NAME is one of "
             + String.join(", ", Measures.names()));
+    System.out.println(
+        "lab soak [--seeds A-B] [--seconds S]: drawn faults on processes of the program, judged from outside");
     System.out.println(
         "lab floors FILE...: served against wanted, of reports of the acceptance bench");
     return 0;
--- a/src/main/java/dunlinhitch/experiments/fakes/FrameStore.java
+++ b/src/main/java/dunlinhitch/experiments/fakes/FrameStore.java
@@ -43,6 +43,8 @@
 
   private void onConnect(NetSocket socket) {
     sockets.add(socket);
+    onConnected(socket);
+    socket.closeHandler(v -> onDisconnected(socket));
     RecordParser parser = RecordParser.newFixed(4);
     boolean[] readsLength = {true};
     parser.handler(
@@ -63,7 +65,7 @@
       case CANCEL -> {
         String partId = new String(body, StandardCharsets.UTF_8);
         cancelledParts.add(partId);
-        onCancelled(partId);
+        onCancelled(socket, partId);
       }
       case LIVENESS_CHECK -> {
         livenessChecks.add(name);
@@ -95,6 +97,7 @@
 
   private void onQuery(NetSocket socket, byte[] body) {
     for (ReceivedPart part : parseParts(body)) {
+      onReceived(socket, part);
       Behavior behavior = receive(part);
       if (behavior == Behavior.CUT) {
         Buffer complete = frame(ANSWER, part.id() + " good 1 -\n" + value(part));
@@ -105,7 +108,15 @@
       String header = row.id() + " " + row.end() + " " + row.score() + " " + row.report() + "\n";
       Buffer frame = frame(ANSWER, Buffer.buffer(header).appendBytes(row.value()));
       int copies = copies(behavior);
-      work(part, false, () -> write(socket, frame, copies));
+      work(
+          part,
+          false,
+          () -> {
+            if (copies > 0) {
+              onAnswered(socket, part.id());
+            }
+            write(socket, frame, copies);
+          });
     }
   }
 
@@ -119,11 +130,31 @@
     }
   }
 
+  /** A connection was accepted. */
+  protected void onConnected(NetSocket socket) {
+    // as below
+  }
+
+  /** A part was read from that connection. */
+  protected void onReceived(NetSocket socket, ReceivedPart part) {
+    // recorded by the subclasses that ask by which connection it came
+  }
+
   /** Handles the cancellation of a part. */
-  protected void onCancelled(String partId) {
+  protected void onCancelled(NetSocket socket, String partId) {
     // this fake answers cancelled parts too
   }
 
+  /** The answer to a part is written to that connection. */
+  protected void onAnswered(NetSocket socket, String partId) {
+    // as above
+  }
+
+  /** A connection has ended. */
+  protected void onDisconnected(NetSocket socket) {
+    // as above
+  }
+
   /** The current load report. */
   protected String loadReport() {
     return "latency_ms=1,queue=0";
--- a/src/main/java/dunlinhitch/experiments/fakes/QueueingStore.java
+++ b/src/main/java/dunlinhitch/experiments/fakes/QueueingStore.java
@@ -1,6 +1,7 @@
 package dunlinhitch.experiments.fakes;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
@@ -52,7 +53,7 @@
   }
 
   @Override
-  protected void onCancelled(String partId) {
+  protected void onCancelled(NetSocket socket, String partId) {
     queue.removeIf(job -> job.id().equals(partId));
   }
 
--- /dev/null
+++ b/src/main/java/dunlinhitch/experiments/soak/FrameTap.java
@@ -0,0 +1,54 @@
+package dunlinhitch.experiments.soak;
+
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BiConsumer;
+
+/**
+ * Reads along what a broker writes to one connection and tells of each part of a call, by its id
+ * and the time that it tells the store. Not thread-safe; used on the event loop.
+ */
+final class FrameTap {
+  private static final int LENGTH_BYTES = 4;
+  private static final char CALL = 'm';
+
+  private final BiConsumer<String, Long> onPart;
+  private Buffer pending = Buffer.buffer();
+
+  /**
+   * Creates a tap at the start of a connection.
+   *
+   * @param onPart takes the id of each part and the milliseconds that it tells
+   */
+  FrameTap(BiConsumer<String, Long> onPart) {
+    this.onPart = onPart;
+  }
+
+  void read(Buffer bytes) {
+    pending.appendBuffer(bytes);
+    while (pending.length() >= LENGTH_BYTES) {
+      int end = LENGTH_BYTES + (int) pending.getUnsignedIntLE(0);
+      if (pending.length() < end) {
+        return;
+      }
+      if (pending.getByte(LENGTH_BYTES) == CALL) {
+        readCall(pending.getBytes(LENGTH_BYTES + 1, end));
+      }
+      pending = pending.getBuffer(end, pending.length());
+    }
+  }
+
+  private void readCall(byte[] call) {
+    int at = 0;
+    while (at < call.length) {
+      int lineEnd = at;
+      while (call[lineEnd] != '\n') {
+        lineEnd++;
+      }
+      String[] fields = new String(call, at, lineEnd - at, StandardCharsets.UTF_8).split(" ", -1);
+      String timeout = fields[2].split(",", -1)[0].substring("d=".length());
+      onPart.accept(fields[0], Long.parseLong(timeout));
+      at = lineEnd + 1 + Integer.parseInt(fields[3]);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dunlinhitch/experiments/soak/SoakChecker.java
@@ -0,0 +1,194 @@
+package dunlinhitch.experiments.soak;
+
+import dunlinhitch.experiments.soak.Observation.AttemptOver;
+import dunlinhitch.experiments.soak.Observation.AttemptRead;
+import dunlinhitch.experiments.soak.Observation.AttemptSent;
+import dunlinhitch.experiments.soak.Observation.BrokerStopped;
+import dunlinhitch.experiments.soak.Observation.EndpointTold;
+import dunlinhitch.experiments.soak.Observation.RequestEnd;
+import dunlinhitch.experiments.soak.Observation.RequestEnded;
+import dunlinhitch.experiments.soak.Observation.RequestSent;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Judges one run by its observations. One use each; not thread-safe.
+ *
+ * <p>Pure: the same observations give the same breaches.
+ */
+public final class SoakChecker {
+  /** What the rules leave a broker that is held up between reading its clock and writing. */
+  static final long STALL_US = 150_000;
+
+  /** After this an attempt for a client that has left is a lost request. */
+  static final long DEPARTURE_GRACE_US = 100_000;
+
+  /** After a request's time its answer earns nothing; after this it is lost. */
+  static final long ANSWER_GRACE_US = 500_000;
+
+  /** The share of the requests of clients that stay which must be served. */
+  static final double MIN_SERVED_SHARE = 0.3;
+
+  /**
+   * A broken rule.
+   *
+   * @param subject the query, or what else it is about
+   * @param timeline all that was seen of the subject
+   */
+  public record Breach(SoakRule rule, String subject, List<String> timeline) {}
+
+  /**
+   * What the run allows.
+   *
+   * @param windowUs the deduplication window of the classes with idempotency keys
+   * @param idempotentClass the class that has them
+   */
+  public record Limits(
+      boolean parallelAttempts,
+      int maxAttempts,
+      long drainGraceUs,
+      String idempotentClass,
+      long windowUs) {}
+
+  private final Limits limits;
+  private final List<Observation> observations;
+  private final List<Breach> breaches = new ArrayList<>();
+  private final Map<String, RequestSent> requests = new HashMap<>();
+  private final Map<String, RequestEnded> ends = new HashMap<>();
+  private final Map<String, Integer> attemptCounts = new HashMap<>();
+  private final Map<String, Long> firstAttemptsUs = new HashMap<>();
+  private final Map<String, Set<String>> attemptsAtStores = new HashMap<>();
+  private final Map<String, Long> unavailableSinceUs = new HashMap<>();
+  private final Map<String, Long> stoppedUs = new HashMap<>();
+
+  private SoakChecker(Limits limits, List<Observation> observations) {
+    this.limits = limits;
+    this.observations =
+        observations.stream().sorted(Comparator.comparingLong(Observation::atUs)).toList();
+  }
+
+  /** The rules that these observations break. */
+  public static List<Breach> check(Limits limits, List<Observation> observations) {
+    SoakChecker checker = new SoakChecker(limits, observations);
+    checker.observations.forEach(checker::handle);
+    checker.checkAnswers();
+    return checker.breaches;
+  }
+
+  private void handle(Observation observation) {
+    if (observation instanceof RequestSent sent) {
+      requests.put(sent.query(), sent);
+    } else if (observation instanceof RequestEnded ended) {
+      if (ends.put(ended.query(), ended) != null) {
+        report(SoakRule.ONE_ANSWER, ended.query());
+      }
+    } else if (observation instanceof AttemptSent sent) {
+      onAttemptSent(sent);
+    } else if (observation instanceof AttemptRead read) {
+      onAttemptRead(read);
+    } else if (observation instanceof AttemptOver over) {
+      attemptsAtStores.getOrDefault(over.part(), new HashSet<>()).remove(place(over));
+    } else if (observation instanceof EndpointTold told) {
+      onEndpointTold(told);
+    } else if (observation instanceof BrokerStopped stopped) {
+      stoppedUs.putIfAbsent(stopped.broker(), stopped.atUs());
+    }
+  }
+
+  private void onEndpointTold(EndpointTold told) {
+    String key = told.broker() + " " + told.store();
+    if (told.ready()) {
+      unavailableSinceUs.remove(key);
+    } else {
+      unavailableSinceUs.putIfAbsent(key, told.atUs());
+    }
+  }
+
+  private void onAttemptSent(AttemptSent sent) {
+    if (attemptCounts.merge(sent.part(), 1, Integer::sum) > limits.maxAttempts()) {
+      report(SoakRule.ATTEMPT_LIMIT, sent.subject());
+    }
+    Long unavailable = unavailableSinceUs.get(sent.broker() + " " + sent.store());
+    if (unavailable != null && sent.atUs() > unavailable + limits.drainGraceUs() + STALL_US) {
+      report(SoakRule.DRAIN, sent.subject());
+    }
+    RequestSent request = requests.get(sent.subject());
+    if (request == null) {
+      return;
+    }
+    RequestEnded end = ends.get(sent.subject());
+    if (end != null
+        && end.end() == RequestEnd.LEFT
+        && sent.atUs() > end.atUs() + DEPARTURE_GRACE_US + STALL_US) {
+      report(SoakRule.DEPARTED_CLIENT, sent.subject());
+    }
+    long leftUs = request.atUs() + request.timeoutUs() - sent.atUs();
+    if (sent.timeoutUs() > Math.max(0, leftUs) + STALL_US) {
+      report(SoakRule.DEADLINE, sent.subject());
+    }
+    Long first = firstAttemptsUs.putIfAbsent(sent.part(), sent.atUs());
+    if (first != null
+        && request.queryClass().equals(limits.idempotentClass())
+        && sent.atUs() > first + limits.windowUs() + STALL_US) {
+      report(SoakRule.WINDOW, sent.subject());
+    }
+  }
+
+  private void onAttemptRead(AttemptRead read) {
+    Set<String> places = attemptsAtStores.computeIfAbsent(read.part(), part -> new HashSet<>());
+    if (!places.isEmpty() && !limits.parallelAttempts()) {
+      report(SoakRule.ONE_ATTEMPT_AT_A_TIME, read.subject());
+    }
+    places.add(read.store() + " " + read.connection());
+  }
+
+  private static String place(AttemptOver over) {
+    return over.store() + " " + over.connection();
+  }
+
+  private void checkAnswers() {
+    int staying = 0;
+    int served = 0;
+    for (RequestSent request : requests.values()) {
+      RequestEnded end = ends.get(request.query());
+      if (isExcused(request, end)) {
+        continue;
+      }
+      boolean late = end != null && end.atUs() > dueUs(request) + ANSWER_GRACE_US;
+      if (end == null || end.end() == RequestEnd.BROKEN || late) {
+        report(SoakRule.ONE_ANSWER, request.query());
+        continue;
+      }
+      staying++;
+      served += end.end() == RequestEnd.SERVED ? 1 : 0;
+    }
+    if (served < MIN_SERVED_SHARE * staying) {
+      report(SoakRule.SERVED_SHARE, served + " of " + staying);
+    }
+  }
+
+  private static long dueUs(RequestSent request) {
+    return request.atUs() + request.timeoutUs();
+  }
+
+  /** The client left, or its broker was asked to end before the request's time was over. */
+  private boolean isExcused(RequestSent request, RequestEnded end) {
+    Long stopped = stoppedUs.get(request.broker());
+    return (end != null && end.end() == RequestEnd.LEFT)
+        || (stopped != null && dueUs(request) + ANSWER_GRACE_US >= stopped);
+  }
+
+  private void report(SoakRule rule, String subject) {
+    List<String> timeline =
+        observations.stream()
+            .filter(observation -> observation.subject().equals(subject))
+            .map(Observation::toString)
+            .toList();
+    breaches.add(new Breach(rule, subject, timeline));
+  }
+}
--- /dev/null
+++ b/src/main/java/dunlinhitch/experiments/soak/SoakCommand.java
@@ -0,0 +1,95 @@
+package dunlinhitch.experiments.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Command that plays soak runs by their seeds and reports what rules they broke. */
+@Command(
+    name = "soak",
+    description =
+        "Processes of the program under faults that are drawn from a seed; exit code 1 if a rule is broken.",
+    mixinStandardHelpOptions = true)
+public final class SoakCommand implements Callable<Integer> {
+  private static final int MAX_TIMELINE_LINES = 24;
+
+  @Option(
+      names = "--seeds",
+      defaultValue = "1-5",
+      description = "first and last seed (default: ${DEFAULT-VALUE})")
+  private String seeds;
+
+  @Option(
+      names = "--seconds",
+      defaultValue = "20",
+      description = "load of each run (default: ${DEFAULT-VALUE})")
+  private int seconds;
+
+  @Override
+  public Integer call() throws Exception {
+    String[] range = seeds.split("-", 2);
+    long first = Long.parseLong(range[0]);
+    long last = Long.parseLong(range[range.length - 1]);
+    Map<SoakRule, Integer> byRule = new EnumMap<>(SoakRule.class);
+    Map<SoakFault.Kind, Integer> byKind = new EnumMap<>(SoakFault.Kind.class);
+    for (long seed = first; seed <= last; seed++) {
+      SoakPlan plan = SoakPlan.draw(seed, seconds);
+      plan.faults().forEach(fault -> byKind.merge(fault.kind(), 1, Integer::sum));
+      SoakRun.Result result = play(plan);
+      List<Observation> seen = result.seen();
+      List<SoakChecker.Breach> breaches = SoakChecker.check(plan.limits(), seen);
+      long requests = seen.stream().filter(Observation.RequestSent.class::isInstance).count();
+      System.out.println(
+          "seed " + seed + ": " + requests + " requests, " + breaches.size() + " breaches");
+      breaches.forEach(breach -> byRule.merge(breach.rule(), 1, Integer::sum));
+      if (!breaches.isEmpty()) {
+        print(plan, breaches.get(0), result.logLines());
+      }
+    }
+    System.out.println("faults: " + byKind);
+    System.out.println("breaches: " + byRule);
+    return byRule.isEmpty() ? 0 : 1;
+  }
+
+  private void print(SoakPlan plan, SoakChecker.Breach breach, List<String> logLines) {
+    System.out.println("  " + breach.rule() + ": " + breach.subject());
+    breach.timeline().stream()
+        .limit(MAX_TIMELINE_LINES)
+        .forEach(line -> System.out.println("    " + line));
+    logLines.stream()
+        .filter(line -> line.contains(breach.subject() + "."))
+        .forEach(line -> System.out.println("    log of " + line));
+    System.out.println(
+        "  again: experiments soak --seeds "
+            + plan.seed()
+            + "-"
+            + plan.seed()
+            + " --seconds "
+            + seconds);
+  }
+
+  private static SoakRun.Result play(SoakPlan plan) throws Exception {
+    Path directory = Files.createTempDirectory("soak");
+    try {
+      return SoakRun.play(plan, directory);
+    } finally {
+      delete(directory);
+    }
+  }
+
+  private static void delete(Path directory) throws IOException {
+    try (Stream<Path> files = Files.walk(directory)) {
+      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(file);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dunlinhitch/experiments/soak/SoakPlan.java
@@ -0,0 +1,135 @@
+package dunlinhitch.experiments.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+
+/**
+ * One run, drawn from its seed alone: the deployment, its load and its faults.
+ *
+ * @param brokers how many processes
+ * @param storesPerCell replicas of each shard
+ * @param objectiveMs latency objective of both classes
+ * @param deadlineMs their deadline, which is also how long clients wait
+ * @param windowMs deduplication window of the class with idempotency keys
+ */
+public record SoakPlan(
+    long seed,
+    int seconds,
+    int brokers,
+    int storesPerCell,
+    boolean parallelAttempts,
+    boolean mayCancel,
+    boolean mayHealthCheck,
+    int objectiveMs,
+    int deadlineMs,
+    int windowMs,
+    List<SoakFault> faults) {
+  static final int CELLS = 2;
+  static final int MAX_ATTEMPTS = 4;
+  static final int DRAIN_GRACE_MS = 250;
+
+  /** The class without keys, which may be answered in part. */
+  static final String SEARCH = "search";
+
+  /** The class with idempotency keys. */
+  static final String BOOKING = "booking";
+
+  private static final int MIN_FAULT_GAP_MS = 150;
+  private static final int MAX_FAULT_GAP_MS = 700;
+  private static final int MIN_FAULT_MS = 40;
+  private static final int MAX_FAULT_MS = 1_500;
+
+  /** A pause for which the rules leave time; a longer one is another kind of fault. */
+  private static final int MAX_PAUSE_MS = 120;
+
+  /** Copies the list. */
+  public SoakPlan {
+    faults = List.copyOf(faults);
+  }
+
+  /** Draws the run of a seed. */
+  public static SoakPlan draw(long seed, int seconds) {
+    SplittableRandom random = new SplittableRandom(seed);
+    int brokers = random.nextInt(1, 4);
+    int storesPerCell = random.nextInt(2, 4);
+    int deadlineMs = random.nextInt(300, 1_500);
+    return new SoakPlan(
+        seed,
+        seconds,
+        brokers,
+        storesPerCell,
+        random.nextInt(4) == 0,
+        random.nextInt(6) > 0,
+        random.nextInt(6) > 0,
+        deadlineMs * random.nextInt(35, 75) / 100,
+        deadlineMs,
+        random.nextInt(200, 1_500),
+        drawFaults(random, seconds, brokers, CELLS * storesPerCell));
+  }
+
+  private static List<SoakFault> drawFaults(
+      SplittableRandom random, int seconds, int brokers, int stores) {
+    SoakFault.Kind[] kinds = SoakFault.Kind.values();
+    List<SoakFault> faults = new ArrayList<>();
+    int atMs = random.nextInt(MIN_FAULT_GAP_MS, MAX_FAULT_GAP_MS);
+    while (atMs < seconds * 1_000) {
+      SoakFault.Kind kind = kinds[random.nextInt(kinds.length)];
+      int longestMs = kind == SoakFault.Kind.BROKER_PAUSED ? MAX_PAUSE_MS : MAX_FAULT_MS;
+      faults.add(
+          new SoakFault(
+              kind,
+              atMs,
+              random.nextInt(MIN_FAULT_MS, longestMs),
+              random.nextInt(brokers),
+              random.nextInt(stores)));
+      atMs += random.nextInt(MIN_FAULT_GAP_MS, MAX_FAULT_GAP_MS);
+    }
+    faults.sort(Comparator.comparingInt(SoakFault::atMs));
+    return faults;
+  }
+
+  /** What the run allows. */
+  public SoakChecker.Limits limits() {
+    return new SoakChecker.Limits(
+        parallelAttempts, MAX_ATTEMPTS, DRAIN_GRACE_MS * 1_000L, BOOKING, windowMs * 1_000L);
+  }
+
+  /** The settings of its brokers, with places for the numbers of brokers, cells and shards. */
+  String settings() {
+    String classes =
+        String.format(
+            Locale.ROOT,
+            "{\"Name\":\"%s\",\"OnTimeUs\":%d,\"DeadlineUs\":%d,\"Idempotency\":\"free\","
+                + "\"LateWorth\":0.1,\"Points\":3},"
+                + "{\"Name\":\"%s\",\"OnTimeUs\":%d,\"DeadlineUs\":%d,\"Idempotency\":\"guarded\","
+                + "\"DedupWindowUs\":%d,\"LateWorth\":0.3,\"Points\":2}",
+            SEARCH,
+            objectiveMs * 1_000,
+            deadlineMs * 1_000,
+            BOOKING,
+            objectiveMs * 1_000,
+            deadlineMs * 1_000,
+            windowMs * 1_000);
+    return "{\"ReplicasOfMe\":%d,\"FailureDomains\":[\"here\"],\"MyZone\":0,\"TickUs\":2000,\"Classes\":["
+        + classes
+        + "],\"Domain\":{\"Positions\":%d,\"InARow\":1,\"Shards\":%d,\"PerCall\":8,"
+        + "\"FloorByClass\":[0.5,1],\"ShortWorth\":[0.9,1]},"
+        + "\"Limits\":{\"MaxAttempts\":"
+        + MAX_ATTEMPTS
+        + ",\"MostHeld\":2000,\"MayCancel\":"
+        + mayCancel
+        + ",\"MayProbe\":"
+        + mayHealthCheck
+        + ",\"ParallelTries\":"
+        + parallelAttempts
+        + ",\"RetryAfter\":true,\"MaxRetryAfterUs\":500000,"
+        + "\"ConnectTimeoutUs\":250000,\"StreamsPerConn\":32,\"ConnIdleUs\":15000000},"
+        + "\"Rules\":{\"AnswerSlackUs\":20000,\"ColdFrom\":0.15,\"WarmAfterUs\":17000000,"
+        + "\"OverloadFactor\":3,\"FallUs\":1500000,\"DrainGraceUs\":"
+        + DRAIN_GRACE_MS * 1_000
+        + "},\"Report\":{\"Via\":\"answers\",\"Fields\":[\"recent_ms\",\"backlog\"]}}";
+  }
+}
--- /dev/null
+++ b/src/main/java/dunlinhitch/experiments/soak/SoakRun.java
@@ -0,0 +1,267 @@
+package dunlinhitch.experiments.soak;
+
+import dunlinhitch.experiments.testbed.NetworkFaults;
+import dunlinhitch.experiments.testbed.TestBed;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Plays one plan: processes, load and faults. One use each. */
+public final class SoakRun {
+  /**
+   * What came of a run.
+   *
+   * @param seen what clients, stores and the network saw, which alone is judged
+   * @param logLines what the brokers logged, each line behind its broker's name
+   */
+  public record Result(List<Observation> seen, List<String> logLines) {
+    /** Copies the lists. */
+    public Result {
+      seen = List.copyOf(seen);
+      logLines = List.copyOf(logLines);
+    }
+  }
+
+  private static final String DISCOVERY = "d";
+  private static final int SLOW_LINK_MS = 1;
+  private static final int ANSWER_DELAY_MS = 12;
+
+  private final SoakPlan plan;
+  private final Observations observations = new Observations();
+  private final TestBed bed;
+  private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
+
+  private final List<Exception> failures = new CopyOnWriteArrayList<>();
+
+  /** Brokers to which discovery's bytes wait now. */
+  private final Set<String> untoldBrokers = new HashSet<>();
+
+  private SoakRun(SoakPlan plan, Path directory) throws Exception {
+    this.plan = plan;
+    bed =
+        new TestBed(
+            directory,
+            plan.seed(),
+            new TestBed.Plan(
+                plan.brokers(),
+                SoakPlan.CELLS,
+                plan.storesPerCell(),
+                plan.settings(),
+                null,
+                (vertx, name) -> new SoakStore(vertx, name, observations)));
+  }
+
+  /**
+   * Plays a plan to its end.
+   *
+   * @param directory parent of the brokers' working directories
+   */
+  public static Result play(SoakPlan plan, Path directory) throws Exception {
+    SoakRun run = new SoakRun(plan, directory);
+    try (run.bed) {
+      return run.play();
+    } finally {
+      run.executor.shutdownNow();
+    }
+  }
+
+  private Result play() throws Exception {
+    bed.stores().forEach(store -> store.answerDelayMs = ANSWER_DELAY_MS);
+    bed.onLoop(
+        () -> {
+          bed.nodes().forEach(this::tapRequests);
+          return null;
+        });
+    bed.start(bed.nodes());
+    List<SoakClients> clients = new ArrayList<>();
+    for (int number = 0; number < plan.brokers(); number++) {
+      TestBed.Node node = bed.nodes().get(number);
+      clients.add(new SoakClients(plan, number, node.httpPort, observations, executor));
+    }
+    clients.forEach(SoakClients::start);
+    for (SoakFault fault : plan.faults()) {
+      schedule(() -> begin(fault), fault.atMs());
+    }
+    TimeUnit.SECONDS.sleep(plan.seconds());
+    executor.shutdown(); // neither new requests nor new faults; ends of faults are awaited
+    executor.awaitTermination(2L * plan.deadlineMs(), TimeUnit.MILLISECONDS);
+    for (SoakClients some : clients) {
+      some.allEnded()
+          .handle((all, failure) -> null)
+          .completeOnTimeout(null, 2L * plan.deadlineMs(), TimeUnit.MILLISECONDS)
+          .join();
+    }
+    if (!failures.isEmpty()) {
+      throw new IllegalStateException("a fault could not be injected", failures.get(0));
+    }
+    List<String> logLines =
+        bed.nodes().stream()
+            .flatMap(node -> node.lines().stream().map(line -> node.name + ": " + line))
+            .toList();
+    return new Result(observations.list(), logLines);
+  }
+
+  private void tapRequests(TestBed.Node node) {
+    for (var store : bed.stores()) {
+      node.proxyTo(store.name)
+          .tapRequests(
+              () ->
+                  new FrameTap(
+                          (part, timeoutMs) ->
+                              observations.add(
+                                  atUs ->
+                                      new Observation.AttemptSent(
+                                          atUs, part, node.name, store.name, timeoutMs * 1_000)))
+                      ::read);
+    }
+  }
+
+  private void begin(SoakFault fault) throws Exception {
+    TestBed.Node node = bed.nodes().get(fault.broker());
+    SoakStore store = (SoakStore) bed.stores().get(fault.store());
+    switch (fault.kind()) {
+      case REQUESTS_HELD, ANSWERS_HELD, LINK_HELD, LINK_SLOW, LINK_RESET ->
+          beginLinkFault(fault, node, store);
+      case STORE_HANGS, STORE_FROZEN, STORE_FULL, STORE_DRAINS -> beginStoreFault(fault, store);
+      case DISCOVERY_HELD -> holdDiscovery(fault, node);
+      case RELOAD, BROKER_PAUSED -> beginProcessFault(fault, node);
+    }
+  }
+
+  private void beginLinkFault(SoakFault fault, TestBed.Node node, SoakStore store)
+      throws Exception {
+    switch (fault.kind()) {
+      case REQUESTS_HELD -> hold(fault, node, store, true, false);
+      case ANSWERS_HELD -> hold(fault, node, store, false, true);
+      case LINK_HELD -> hold(fault, node, store, true, true);
+      case LINK_SLOW -> slow(fault, node, store);
+      default -> onLoop(() -> node.proxyTo(store.name).reset());
+    }
+  }
+
+  private void beginStoreFault(SoakFault fault, SoakStore store) throws Exception {
+    switch (fault.kind()) {
+      case STORE_HANGS -> during(fault, store::setHanging);
+      case STORE_FROZEN -> during(fault, store::setFrozen);
+      case STORE_FULL -> during(fault, store::setFull);
+      default -> drain(fault, store);
+    }
+  }
+
+  private static void beginProcessFault(SoakFault fault, TestBed.Node node) throws Exception {
+    if (fault.kind() == SoakFault.Kind.RELOAD) {
+      node.rewriteConfiguration();
+      node.signal("HUP");
+      return;
+    }
+    node.signal("STOP");
+    TimeUnit.MILLISECONDS.sleep(fault.forMs());
+    node.signal("CONT");
+  }
+
+  private interface Switch {
+    void set(boolean on);
+  }
+
+  private void during(SoakFault fault, Switch state) throws Exception {
+    onLoop(() -> state.set(true));
+    after(fault, () -> state.set(false));
+  }
+
+  private void hold(
+      SoakFault fault, TestBed.Node node, SoakStore store, boolean requests, boolean answers) {
+    NetworkFaults.Rule rule =
+        bed.links.add(
+            (from, to) ->
+                (requests && from.equals(node.name) && to.equals(store.name))
+                    || (answers && from.equals(store.name) && to.equals(node.name)),
+            NetworkFaults.Harm.HELD,
+            0,
+            1);
+    after(
+        fault,
+        () -> {
+          bed.links.remove(rule);
+          node.proxyTo(store.name).release();
+        });
+  }
+
+  private void slow(SoakFault fault, TestBed.Node node, SoakStore store) {
+    NetworkFaults.Rule rule =
+        bed.links.add(
+            (from, to) -> from.equals(node.name) && to.equals(store.name),
+            NetworkFaults.Harm.SLOW,
+            SLOW_LINK_MS,
+            1);
+    after(fault, () -> bed.links.remove(rule));
+  }
+
+  private void drain(SoakFault fault, SoakStore store) throws Exception {
+    tell(store, false);
+    schedule(() -> tell(store, true), fault.forMs());
+  }
+
+  /** Brokers whose discovery is held are told nothing that the rules could count. */
+  private void tell(SoakStore store, boolean ready) throws Exception {
+    bed.change(store.name, ready ? "ready" : "draining");
+    for (TestBed.Node node : bed.nodes()) {
+      if (ready || !untoldBrokers.contains(node.name)) {
+        observations.add(atUs -> new Observation.EndpointTold(atUs, node.name, store.name, ready));
+      }
+    }
+  }
+
+  private void holdDiscovery(SoakFault fault, TestBed.Node node) {
+    untoldBrokers.add(node.name);
+    NetworkFaults.Rule rule =
+        bed.links.add(
+            (from, to) -> from.equals(DISCOVERY) && to.equals(node.name),
+            NetworkFaults.Harm.HELD,
+            0,
+            1);
+    schedule(
+        () -> {
+          untoldBrokers.remove(node.name);
+          bed.links.remove(rule);
+          onLoop(node::releaseDiscovery);
+        },
+        fault.forMs());
+  }
+
+  private void after(SoakFault fault, Runnable task) {
+    schedule(() -> onLoop(task), fault.forMs());
+  }
+
+  private interface Step {
+    void run() throws Exception;
+  }
+
+  /** A step that fails would leave a run without its fault, or with it for good. */
+  private void schedule(Step step, int delayMs) {
+    var unused =
+        executor.schedule(
+            () -> {
+              try {
+                step.run();
+              } catch (Exception e) {
+                failures.add(e);
+              }
+            },
+            delayMs,
+            TimeUnit.MILLISECONDS);
+  }
+
+  private void onLoop(Runnable task) throws Exception {
+    bed.onLoop(
+        () -> {
+          task.run();
+          return null;
+        });
+  }
+}
--- a/src/main/java/dunlinhitch/experiments/testbed/StreamProxy.java
+++ b/src/main/java/dunlinhitch/experiments/testbed/StreamProxy.java
@@ -14,6 +14,8 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * A TCP proxy between one broker and one peer (a store or discovery) that injects the faults of
@@ -37,7 +39,9 @@
     private boolean timerPending;
     private boolean stalled;
     private boolean held;
-    private boolean sourceClosed;
+    private boolean sourceEnded;
+    private boolean ended;
+    private Direction opposite;
 
     Direction(String from, String to, NetSocket out, NetSocket broker) {
       this.from = from;
@@ -88,8 +92,8 @@
         return;
       }
       if (queue.isEmpty()) {
-        if (sourceClosed) {
-          destination.close();
+        if (sourceEnded) {
+          endDestination();
         }
         return;
       }
@@ -109,12 +113,27 @@
       }
     }
 
-    void onSourceClosed() {
-      sourceClosed = true;
+    /** The source has sent its end of stream, or its connection has broken. */
+    void onSourceEnded() {
+      sourceEnded = true;
       if (!stalled) {
         drainQueue(0);
       }
     }
+
+    /** Passes the end of stream on; the connection is over once both directions are. */
+    private void endDestination() {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      if (opposite.ended) {
+        destination.close();
+        opposite.destination.close();
+      } else {
+        HalfClose.endOutput(destination);
+      }
+    }
   }
 
   private final Vertx vertx;
@@ -135,6 +154,9 @@
 
   private int acceptedCount;
 
+  /** Makes what reads along the bytes of a connection from the broker. */
+  private Supplier<Consumer<Buffer>> requestTaps = () -> bytes -> {};
+
   /**
    * Listens on a free loopback port.
    *
@@ -173,6 +195,11 @@
     return open.size();
   }
 
+  /** Has the bytes from the broker read along on each connection to come. */
+  public void tapRequests(Supplier<Consumer<Buffer>> taps) {
+    requestTaps = taps;
+  }
+
   /** True while bytes wait here under a HELD rule. */
   public boolean holdsBytes() {
     return !heldDirections.isEmpty();
@@ -211,16 +238,25 @@
               NetSocket peerSocket = connected.result();
               Direction toPeer = new Direction(broker, peer, peerSocket, socket);
               Direction toBroker = new Direction(peer, broker, socket, socket);
+              toPeer.opposite = toBroker;
+              toBroker.opposite = toPeer;
+              HalfClose.onInputEnd(socket, toPeer::onSourceEnded);
+              HalfClose.onInputEnd(peerSocket, toBroker::onSourceEnded);
               peerSocket.exceptionHandler(e -> {});
-              socket.handler(toPeer::forward);
+              Consumer<Buffer> tap = requestTaps.get();
+              socket.handler(
+                  bytes -> {
+                    tap.accept(bytes);
+                    toPeer.forward(bytes);
+                  });
               peerSocket.handler(toBroker::forward);
               socket.closeHandler(
                   v -> {
                     open.remove(socket);
                     stalledConnections.remove(socket);
-                    toPeer.onSourceClosed();
+                    toPeer.onSourceEnded();
                   });
-              peerSocket.closeHandler(v -> toBroker.onSourceClosed());
+              peerSocket.closeHandler(v -> toBroker.onSourceEnded());
               socket.resume();
             });
   }
--- a/src/main/java/dunlinhitch/experiments/testbed/TestBed.java
+++ b/src/main/java/dunlinhitch/experiments/testbed/TestBed.java
@@ -52,6 +52,32 @@
               "DrainGraceUs":250000},
              "Report":{"Via":"answers","Fields":["recent_ms","backlog"]}}""";
 
+  /** Makes the fake stores of a test bed. */
+  public interface StoreFactory {
+    /** Makes a store of that name that listens. */
+    FrameStore create(Vertx vertx, String name) throws Exception;
+  }
+
+  /**
+   * What a test bed is made of.
+   *
+   * @param brokers how many processes
+   * @param cells how many cells of stores
+   * @param storesPerCell how many stores each cell has
+   * @param settings the brokers' settings; a format string with the numbers of brokers, cells and
+   *     shards in this order
+   * @param cluster lines of the section {@code [fleet]} of each broker's settings file, null where
+   *     brokers do not know of each other
+   * @param stores makes the stores
+   */
+  public record Plan(
+      int brokers,
+      int cells,
+      int storesPerCell,
+      String settings,
+      String cluster,
+      StoreFactory stores) {}
+
   /** One broker process with its own discovery and proxies. */
   public final class Node {
     public final String name;
@@ -146,10 +172,9 @@
       lines.clear();
       Path config = workingDirectory.resolve("config.json");
       Files.writeString(config, configText());
-      Path conf = workingDirectory.resolve("dunlinhitch.conf");
-      Files.writeString(conf, clusterSection() + extraClusterLines);
-      ProcessBuilder builder =
-          new ProcessBuilder(
+      List<String> command =
+          new ArrayList<>(
+              List.of(
                   Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                   "-XX:+UseSerialGC",
                   "-XX:TieredStopAtLevel=1",
@@ -159,10 +184,13 @@
                   "dunlinhitch.cli.Main",
                   "serve",
                   "--config",
-                  config.toString(),
-                  "--conf",
-                  conf.toString())
-              .redirectErrorStream(true);
+                  config.toString()));
+      if (plan.cluster() != null) {
+        Path conf = workingDirectory.resolve("dunlinhitch.conf");
+        Files.writeString(conf, clusterSection() + plan.cluster());
+        command.addAll(List.of("--conf", conf.toString()));
+      }
+      ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
       builder.environment().put("TMPDIR", workingDirectory.toString());
       process = builder.start();
       killed = false;
@@ -181,7 +209,7 @@
           httpPort,
           discoveryProxy.port(),
           seed + httpPort,
-          String.format(Locale.ROOT, SETTINGS, nodes.size(), cellCount, cellCount));
+          String.format(Locale.ROOT, plan.settings(), nodes.size(), cellCount, cellCount));
     }
 
     private String clusterSection() {
@@ -224,6 +252,26 @@
       process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
     }
 
+    /** Sends that signal, such as {@code HUP}; does not wait for what it does. */
+    public void signal(String signal) throws IOException, InterruptedException {
+      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    }
+
+    /** Writes its configuration file anew, unchanged. */
+    public void rewriteConfiguration() throws IOException {
+      Files.writeString(workingDirectory.resolve("config.json"), configText());
+    }
+
+    /** Passes on what waits between discovery and this broker; to be used on the event loop. */
+    public void releaseDiscovery() {
+      discoveryProxy.release();
+    }
+
+    /** Its proxy to that store; to be used on the event loop. */
+    public StreamProxy proxyTo(String store) {
+      return storeProxies.get(store);
+    }
+
     /** Sends SIGTERM; does not wait. */
     public void terminate() {
       process.destroy();
@@ -233,7 +281,7 @@
   private final Path directory;
   private final long seed;
   private final int cellCount;
-  private final String extraClusterLines;
+  private final Plan plan;
   private final Vertx vertx;
   public final NetworkFaults links;
   private final List<FrameStore> stores = new ArrayList<>();
@@ -254,21 +302,39 @@
    */
   public TestBed(Path directory, long seed, int brokers, int cellCount, int each, String extra)
       throws Exception {
+    this(
+        directory,
+        seed,
+        new Plan(brokers, cellCount, each, SETTINGS, extra, TestBed::createStandardStore));
+  }
+
+  private static FrameStore createStandardStore(Vertx vertx, String name) throws Exception {
+    FrameStore store = new FrameStore(vertx, name);
+    store.answerDelayMs = 5;
+    return store;
+  }
+
+  /**
+   * Starts the fakes and proxies, but no broker.
+   *
+   * @param directory parent of the brokers' working directories
+   * @param seed of the brokers and of the injected faults
+   */
+  public TestBed(Path directory, long seed, Plan plan) throws Exception {
     this.directory = directory;
     this.seed = seed;
-    this.cellCount = cellCount;
-    this.extraClusterLines = extra;
+    this.plan = plan;
+    cellCount = plan.cells();
     vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
     links = new NetworkFaults(seed);
     for (int cell = 0; cell < cellCount; cell++) {
-      for (int i = 0; i < each; i++) {
-        FrameStore store = new FrameStore(vertx, "s" + cell + "-" + i);
-        store.answerDelayMs = 5;
+      for (int i = 0; i < plan.storesPerCell(); i++) {
+        FrameStore store = plan.stores().create(vertx, "s" + cell + "-" + i);
         stores.add(store);
         cells.put(store.name, cell);
       }
     }
-    for (int i = 0; i < brokers; i++) {
+    for (int i = 0; i < plan.brokers(); i++) {
       nodes.add(new Node(i));
     }
     for (Node to : nodes) {
--- /dev/null
+++ b/src/test/java/dunlinhitch/experiments/soak/SoakCheckerTest.java
@@ -0,0 +1,138 @@
+package dunlinhitch.experiments.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dunlinhitch.experiments.soak.Observation.AttemptOver;
+import dunlinhitch.experiments.soak.Observation.AttemptRead;
+import dunlinhitch.experiments.soak.Observation.AttemptSent;
+import dunlinhitch.experiments.soak.Observation.BrokerStopped;
+import dunlinhitch.experiments.soak.Observation.EndpointTold;
+import dunlinhitch.experiments.soak.Observation.RequestEnd;
+import dunlinhitch.experiments.soak.Observation.RequestEnded;
+import dunlinhitch.experiments.soak.Observation.RequestSent;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A checker that can not fail proves nothing: each rule finds its defect, and nothing else. */
+class SoakCheckerTest {
+  private static final long MS = 1_000;
+  private static final SoakChecker.Limits LIMITS =
+      new SoakChecker.Limits(false, 2, 250 * MS, SoakPlan.BOOKING, 400 * MS);
+
+  private final List<Observation> seen = new ArrayList<>();
+
+  private void request(long atMs, RequestEnd end, long endMs) {
+    seen.add(new RequestSent(atMs * MS, "q", "n0", SoakPlan.BOOKING, 1_000 * MS));
+    if (end != null) {
+      seen.add(new RequestEnded(endMs * MS, "q", end));
+    }
+  }
+
+  private void attempt(String store, long sentMs, long timeoutMs, long overMs) {
+    seen.add(new AttemptSent(sentMs * MS, "q.0", "n0", store, timeoutMs * MS));
+    seen.add(new AttemptRead(sentMs * MS + 1, "q.0", store, 0));
+    seen.add(new AttemptOver(overMs * MS, "q.0", store, 0));
+  }
+
+  private List<SoakRule> broken(SoakChecker.Limits limits) {
+    return SoakChecker.check(limits, seen).stream().map(SoakChecker.Breach::rule).toList();
+  }
+
+  private void assertBroken(SoakRule... rules) {
+    assertEquals(List.of(rules), broken(LIMITS));
+  }
+
+  @Test
+  void aRequestThatIsServedBreaksNothing() {
+    request(0, RequestEnd.SERVED, 300);
+    attempt("a", 1, 999, 100);
+    attempt("b", 101, 899, 200);
+    assertBroken();
+  }
+
+  @Test
+  void aRequestWithoutAnAnswerIsLost() {
+    request(0, null, 0);
+    assertBroken(SoakRule.ONE_ANSWER);
+  }
+
+  @Test
+  void anAnswerThatComesTooLateOrBrokenOrTwiceIsNone() {
+    request(0, RequestEnd.SERVED, 1_501);
+    assertBroken(SoakRule.ONE_ANSWER);
+    seen.clear();
+    request(0, RequestEnd.BROKEN, 10);
+    assertBroken(SoakRule.ONE_ANSWER);
+    seen.clear();
+    request(0, RequestEnd.SERVED, 10);
+    seen.add(new RequestEnded(20 * MS, "q", RequestEnd.SERVED));
+    assertBroken(SoakRule.ONE_ANSWER);
+  }
+
+  /** A broker that was asked to end owes nothing that it could not answer in time. */
+  @Test
+  void aStoppedBrokerIsExcused() {
+    request(0, null, 0);
+    seen.add(new BrokerStopped(700 * MS, "n0"));
+    assertBroken();
+  }
+
+  @Test
+  void aSecondAttemptBesideAnotherIsFound() {
+    request(0, RequestEnd.SERVED, 300);
+    attempt("a", 1, 999, 150);
+    attempt("b", 101, 899, 200);
+    assertBroken(SoakRule.ONE_ATTEMPT_AT_A_TIME);
+    assertEquals(
+        List.of(), broken(new SoakChecker.Limits(true, 2, 250 * MS, SoakPlan.BOOKING, 400 * MS)));
+  }
+
+  @Test
+  void anAttemptTooManyIsFound() {
+    request(0, RequestEnd.SERVED, 300);
+    attempt("a", 1, 999, 10);
+    attempt("b", 11, 989, 20);
+    attempt("c", 21, 979, 30);
+    assertBroken(SoakRule.ATTEMPT_LIMIT);
+  }
+
+  @Test
+  void anAttemptForADepartedClientIsFound() {
+    request(0, RequestEnd.LEFT, 50);
+    attempt("a", 301, 600, 320);
+    assertBroken(SoakRule.DEPARTED_CLIENT);
+  }
+
+  @Test
+  void anAttemptAtADrainedEndpointIsFoundUntilItIsReadyAgain() {
+    seen.add(new EndpointTold(0, "n0", "a", false));
+    seen.add(new EndpointTold(1, "n0", "b", false));
+    seen.add(new EndpointTold(2, "n0", "b", true));
+    request(390, RequestEnd.SERVED, 600);
+    attempt("a", 401, 900, 420);
+    attempt("b", 421, 900, 440);
+    assertBroken(SoakRule.DRAIN);
+  }
+
+  @Test
+  void aDeadlineBeyondTheClientsIsFound() {
+    request(0, RequestEnd.SERVED, 300);
+    attempt("a", 100, 1_051, 200);
+    assertBroken(SoakRule.DEADLINE);
+  }
+
+  @Test
+  void aRepeatAfterItsWindowIsFound() {
+    request(0, RequestEnd.SERVED, 900);
+    attempt("a", 1, 999, 100);
+    attempt("b", 552, 400, 700);
+    assertBroken(SoakRule.WINDOW);
+  }
+
+  @Test
+  void refusingEverythingIsFound() {
+    request(0, RequestEnd.REJECTED, 1);
+    assertBroken(SoakRule.SERVED_SHARE);
+  }
+}
--- /dev/null
+++ b/src/test/java/dunlinhitch/experiments/soak/SoakTest.java
@@ -0,0 +1,40 @@
+package dunlinhitch.experiments.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * The short form of the soak: processes of the program under the faults of two seeds. Rules that a
+ * slow machine may break as well are left to the long form, which is started by hand.
+ */
+class SoakTest {
+  private static final int SECONDS = 8;
+  @TempDir private Path directory;
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 3})
+  void noUntimedRuleIsBroken(long seed) throws Exception {
+    SoakPlan plan = SoakPlan.draw(seed, SECONDS);
+    List<Observation> seen = SoakRun.play(plan, directory).seen();
+    List<SoakChecker.Breach> untimed =
+        SoakChecker.check(plan.limits(), seen).stream()
+            .filter(breach -> !breach.rule().isTimed())
+            .toList();
+    assertEquals(List.of(), untimed);
+    assertTrue(seen.stream().anyMatch(Observation.AttemptSent.class::isInstance));
+  }
+
+  @Test
+  void aSeedDrawsTheSameRunEachTime() {
+    assertEquals(SoakPlan.draw(7, 20), SoakPlan.draw(7, 20));
+    assertNotEquals(SoakPlan.draw(7, 20), SoakPlan.draw(8, 20));
+  }
+}
--- a/src/test/java/dunlinhitch/server/CancellationInTransitTest.java
+++ b/src/test/java/dunlinhitch/server/CancellationInTransitTest.java
@@ -12,6 +12,7 @@
 import dunlinhitch.experiments.testbed.TestBed;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.net.NetSocket;
 import java.io.BufferedReader;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -68,7 +69,7 @@
     }
 
     @Override
-    protected void onCancelled(String partId) {
+    protected void onCancelled(NetSocket socket, String partId) {
       history.add("cancellation read by " + name);
     }
   }
