Starts: the first list bounds the difference of the clocks as well

Cause: a broker that has just started knew no difference, so that the first start it saw counted as cold from the moment of sight. Change: the starts of the first list, which lie before its receipt, bound the difference too. Measured: StartTimesTest passes.

--- a/src/main/java/dunlinhitch/core/StartTimes.java
+++ b/src/main/java/dunlinhitch/core/StartTimes.java
@@ -9,8 +9,8 @@
  * <p>What is known without a wall clock is that a start lies before the moment at which it was
  * first seen. The smallest difference between the two over all starts seen so far bounds by how
  * much the clocks differ: a start is taken to be no earlier than that allows. Starts in the first
- * list that discovery sends may lie far back and say nothing of the difference; for them the wall
- * clock is trusted, but for the future.
+ * list that discovery sends may lie far back, so that the bound would make warm endpoints cold; for
+ * them the wall clock is trusted, but for the future.
  *
  * <p>Owned by the reducer; not thread-safe.
  */
@@ -38,10 +38,7 @@
     if (reportedUs == 0) {
       return 0;
     }
-    if (!firstListReceived) {
-      return Math.min(reportedUs, nowUs);
-    }
     smallestDifferenceUs = Math.min(smallestDifferenceUs, nowUs - reportedUs);
-    return reportedUs + smallestDifferenceUs;
+    return firstListReceived ? reportedUs + smallestDifferenceUs : Math.min(reportedUs, nowUs);
   }
 }
--- a/src/test/java/dunlinhitch/core/StartTimesTest.java
+++ b/src/test/java/dunlinhitch/core/StartTimesTest.java
@@ -41,6 +41,17 @@
     assertEquals(now - HOUR, times.localStartUs(now - HOUR, now));
   }
 
+  /** What the first list holds bounds the difference as well: its starts lie before its receipt. */
+  @ParameterizedTest
+  @ValueSource(longs = {HOUR, 0, -HOUR})
+  void theFirstListBoundsLaterStarts(long aheadUs) {
+    StartTimes times = new StartTimes();
+    times.localStartUs(now - aheadUs - SECOND, now);
+    times.onListReceived();
+    assertEquals(
+        now + 8 * SECOND, times.localStartUs(now - aheadUs + 7 * SECOND, now + 10 * SECOND));
+  }
+
   private void restartBoth(long startedUs) {
     turn(
         new Event.EndpointsUpdated(
