--- a/src/test/java/dunlinhitch/core/AttemptLifecycleTest.java
+++ b/src/test/java/dunlinhitch/core/AttemptLifecycleTest.java
@@ -91,6 +91,21 @@
     assertEquals(0, reducer.counters().get(Counter.SENDS_BLOCKED));
   }
 
+  /** The retry waited for its release; its client did not. */
+  @Test
+  void aReleaseAfterTheClientHasLeftSendsNothing() {
+    listBothEndpoints();
+    turn(queryReceived(1, 0, 1));
+    long lost = attemptsIn(effects).get(0).attempt();
+    effects.clear();
+    turn(Event.AttemptCompleted.unconfirmed(lost, AttemptOutcome.RESET));
+    turn(new Event.ClientDisconnected(1), new Event.AttemptReleased(lost));
+    turn(new Event.AttemptReleased(lost));
+    runFor(200_000);
+    assertEquals(List.of(), attemptsIn(effects));
+    assertEquals(0, reducer.counters().get(Counter.FAULTS));
+  }
+
   @Test
   void anAttemptStartedAndCancelledInOneTurnIsNeverSent() {
     listBothEndpoints();
