--- a/src/test/java/dunlinhitch/core/TwoPhaseStageTest.java
+++ b/src/test/java/dunlinhitch/core/TwoPhaseStageTest.java
@@ -9,6 +9,7 @@
 import dunlinhitch.balancer.settings.QueryClass;
 import dunlinhitch.core.Effect.SendRequest;
 import dunlinhitch.core.QueryRequest.PartRequest;
+import dunlinhitch.endpoints.Endpoint;
 import dunlinhitch.experiments.fakes.BrokerFixture;
 import dunlinhitch.twophase.TwoPhaseSettings;
 import java.util.ArrayList;
@@ -26,20 +27,9 @@
   @Test
   void theBudgetOfAWarmingUpEndpointCountsBothPhases() {
     Reducer twoPhaseReducer =
-        new Reducer(
-            BrokerFixture.settings(300),
-            null,
-            List.of(new TwoPhaseSettings("free-search", 0.3, 2, 1, 0, 0.05, SECOND)),
-            7,
-            now);
-    twoPhaseReducer.turn(
-        now,
-        List.of(
-            new Event.EndpointsUpdated(
-                ServerListKind.FULL,
-                List.of(
-                    endpoint("a", 0, ServerState.READY).withStart(now).phases(2),
-                    endpoint("b", 1, ServerState.READY).withStart(now).phases(2)))));
+        reducerOf(
+            endpoint("a", 0, ServerState.READY).withStart(now).phases(2),
+            endpoint("b", 1, ServerState.READY).withStart(now).phases(2));
     Map<Integer, Integer> sent = new TreeMap<>();
     int[] attemptsByPhase = {0, 0};
     List<Event> next = new ArrayList<>();
@@ -76,20 +66,9 @@
   @Test
   void aFullPassWaitsForTheReleaseOfItsFirstPass() {
     Reducer twoPhaseReducer =
-        new Reducer(
-            BrokerFixture.settings(300),
-            null,
-            List.of(new TwoPhaseSettings("free-search", 0.3, 2, 1, 0, 0.05, SECOND)),
-            7,
-            now);
-    twoPhaseReducer.turn(
-        now,
-        List.of(
-            new Event.EndpointsUpdated(
-                ServerListKind.FULL,
-                List.of(
-                    endpoint("a", 0, ServerState.READY).phases(2),
-                    endpoint("b", 1, ServerState.READY).phases(2)))));
+        reducerOf(
+            endpoint("a", 0, ServerState.READY).phases(2),
+            endpoint("b", 1, ServerState.READY).phases(2));
     QueryClass queryClass = twoPhaseReducer.settings().classes().get(0);
     List<Effect.AttemptRequest> firstPasses =
         attemptsIn(
@@ -112,6 +91,19 @@
     assertEquals(0, twoPhaseReducer.counters().get(Counter.SENDS_BLOCKED));
   }
 
+  /** A reducer with two phases for the first class, and these endpoints. */
+  private Reducer reducerOf(Endpoint... endpoints) {
+    Reducer made =
+        new Reducer(
+            BrokerFixture.settings(300),
+            null,
+            List.of(new TwoPhaseSettings("free-search", 0.3, 2, 1, 0, 0.05, SECOND)),
+            7,
+            now);
+    made.turn(now, List.of(new Event.EndpointsUpdated(ServerListKind.FULL, List.of(endpoints))));
+    return made;
+  }
+
   private QueryRequest queryOfTwoParts(String id, QueryClass queryClass) {
     return new QueryRequest(
         id,
