A store that begins to drain in the pass of a cancellation is not checked

Cause: read in the change: whether a store may be checked was asked when the cancellation was written, and the check left at the end of the pass. Change: it is asked when the check is to leave; where it may not, the connection drains and its end confirms.

--- a/src/main/java/dunlinhitch/backend/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/backend/frames/FrameConnection.java
@@ -301,17 +301,21 @@
    * where the store may not be checked.
    */
   private void requestConfirmation() {
-    if (!mayCheck.getAsBoolean()) {
-      drain();
-    } else if (!confirmationScheduled) {
+    if (!confirmationScheduled) {
       confirmationScheduled = true;
-      shared.vertx.runOnContext(
-          ignored -> {
-            confirmationScheduled = false;
-            if (!closed && unconfirmed.needsCheck()) {
-              sendLivenessCheck();
-            }
-          });
+      shared.vertx.runOnContext(ignored -> confirm());
+    }
+  }
+
+  private void confirm() {
+    confirmationScheduled = false;
+    if (closed || !unconfirmed.needsCheck()) {
+      return;
+    }
+    if (mayCheck.getAsBoolean()) {
+      sendLivenessCheck();
+    } else {
+      drain();
     }
   }
 
