--- a/src/main/java/dunlinhitch/experiments/soak/SoakCommand.java
+++ b/src/main/java/dunlinhitch/experiments/soak/SoakCommand.java
@@ -20,6 +20,9 @@
     mixinStandardHelpOptions = true)
 public final class SoakCommand implements Callable<Integer> {
   private static final int MAX_TIMELINE_LINES = 24;
+  private static final String SEED_RANGE = "[0-9]{1,9}(-[0-9]{1,9})?";
+  private static final int MIN_SECONDS = 2;
+  private static final int MAX_SECONDS = 600;
 
   @Option(
       names = "--seeds",
@@ -35,6 +38,14 @@
 
   @Override
   public Integer call() throws Exception {
+    if (!seeds.matches(SEED_RANGE) || seconds < MIN_SECONDS || seconds > MAX_SECONDS) {
+      throw new IllegalArgumentException(
+          "a soak has seeds such as 1-50, and "
+              + MIN_SECONDS
+              + " to "
+              + MAX_SECONDS
+              + " seconds of load each");
+    }
     String[] range = seeds.split("-", 2);
     long first = Long.parseLong(range[0]);
     long last = Long.parseLong(range[range.length - 1]);
--- a/src/test/java/dunlinhitch/cli/MainTest.java
+++ b/src/test/java/dunlinhitch/cli/MainTest.java
@@ -52,6 +52,7 @@
         1, errorOutput("check", "--config", dir.resolve("none").toString()).lines().count());
     assertEquals(1, errorOutput("nonsense").lines().count());
     assertEquals(1, errorOutput("serve", "--bogus").lines().count());
+    assertEquals(1, errorOutput("experiments", "soak", "--seeds", "x").lines().count());
   }
 
   /** The build archives the classes of a warm-up, which must have served. */
