Soak: call what was there, one name for an attempt's place, no sort of what is in order

Cause: read in the change: a folder was cleared in the lines of TestBedCommand.clear, an attempt's place was spelt twice, faults are drawn in their order, and a comment said first byte of what is told at the last. Change: the same pieces called once; only experiments. Measured: SoakCheckerTest and MainTest pass.

--- a/src/main/java/dunlinhitch/experiments/soak/Observation.java
+++ b/src/main/java/dunlinhitch/experiments/soak/Observation.java
@@ -35,7 +35,7 @@
   }
 
   /**
-   * The network has taken the first byte of an attempt from a broker.
+   * The network has taken an attempt from a broker, to its last byte.
    *
    * @param timeoutUs the time that the attempt tells its store
    */
--- a/src/main/java/dunlinhitch/experiments/soak/SoakChecker.java
+++ b/src/main/java/dunlinhitch/experiments/soak/SoakChecker.java
@@ -92,7 +92,7 @@
     } else if (observation instanceof AttemptRead read) {
       onAttemptRead(read);
     } else if (observation instanceof AttemptOver over) {
-      attemptsAtStores.getOrDefault(over.part(), new HashSet<>()).remove(place(over));
+      placesOf(over.part()).remove(place(over.store(), over.connection()));
     } else if (observation instanceof EndpointTold told) {
       onEndpointTold(told);
     } else if (observation instanceof BrokerStopped stopped) {
@@ -140,15 +140,19 @@
   }
 
   private void onAttemptRead(AttemptRead read) {
-    Set<String> places = attemptsAtStores.computeIfAbsent(read.part(), part -> new HashSet<>());
+    Set<String> places = placesOf(read.part());
     if (!places.isEmpty() && !limits.parallelAttempts()) {
       report(SoakRule.ONE_ATTEMPT_AT_A_TIME, read.subject());
     }
-    places.add(read.store() + " " + read.connection());
+    places.add(place(read.store(), read.connection()));
   }
 
-  private static String place(AttemptOver over) {
-    return over.store() + " " + over.connection();
+  private Set<String> placesOf(String part) {
+    return attemptsAtStores.computeIfAbsent(part, unseen -> new HashSet<>());
+  }
+
+  private static String place(String store, int connection) {
+    return store + " " + connection;
   }
 
   private void checkAnswers() {
--- a/src/main/java/dunlinhitch/experiments/soak/SoakCommand.java
+++ b/src/main/java/dunlinhitch/experiments/soak/SoakCommand.java
@@ -1,14 +1,12 @@
 package dunlinhitch.experiments.soak;
 
-import java.io.IOException;
+import dunlinhitch.experiments.testbed.TestBedCommand;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
-import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -92,15 +90,7 @@
     try {
       return SoakRun.play(plan, directory);
     } finally {
-      delete(directory);
-    }
-  }
-
-  private static void delete(Path directory) throws IOException {
-    try (Stream<Path> files = Files.walk(directory)) {
-      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-        Files.delete(file);
-      }
+      TestBedCommand.clear(directory);
     }
   }
 }
--- a/src/main/java/dunlinhitch/experiments/soak/SoakPlan.java
+++ b/src/main/java/dunlinhitch/experiments/soak/SoakPlan.java
@@ -1,7 +1,6 @@
 package dunlinhitch.experiments.soak;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
@@ -87,7 +86,6 @@
               random.nextInt(stores)));
       atMs += random.nextInt(MIN_FAULT_GAP_MS, MAX_FAULT_GAP_MS);
     }
-    faults.sort(Comparator.comparingInt(SoakFault::atMs));
     return faults;
   }
 
