A process's lock file has its name only once it is locked

Cause: read in the change: between the making of a lock file and its lock another process of the broker could find it unlocked, take its process for ended and remove it; that process was then never seen, and both had the whole of the shared budgets. Change: ProcessLocks makes and locks the file under another name and then renames it; only files of the final name are looked at. Measured: OverlapMonitorTest.aFileThatIsNotLockedYetIsLeftAlone fails on the old lines; OverlapMonitorTest and UpgradeTest pass.

--- a/src/main/java/dunlinhitch/server/ProcessLocks.java
+++ b/src/main/java/dunlinhitch/server/ProcessLocks.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.UUID;
@@ -15,32 +16,38 @@
 /**
  * Which other processes of the same broker are alive. Each holds a lock on a file of its own in a
  * folder that they share; the operating system releases it when the process ends, in whatever way,
- * and not before.
+ * and not before. A file has its final name only once it is locked: whoever sees the name without
+ * the lock knows that its process has ended.
  *
  * <p>Blocking and not thread-safe: for one worker thread at a time.
  */
 final class ProcessLocks implements AutoCloseable {
+  private static final String SUFFIX = ".lock";
+
   private final Path folder;
   private final Path ownFile;
   private FileChannel ownChannel;
 
   ProcessLocks(Path folder) {
     this.folder = folder;
-    ownFile = folder.resolve(UUID.randomUUID() + ".lock");
+    ownFile = folder.resolve(UUID.randomUUID() + SUFFIX);
   }
 
   /** Makes this process known to the others. */
   void acquire() throws IOException {
     Files.createDirectories(folder);
-    ownChannel = FileChannel.open(ownFile, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+    Path unlocked = folder.resolve(ownFile.getFileName() + ".new");
+    ownChannel =
+        FileChannel.open(unlocked, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
     ownChannel.lock();
+    Files.move(unlocked, ownFile, StandardCopyOption.ATOMIC_MOVE);
   }
 
   /** Counts the other processes that are alive; removes the files of those that have ended. */
   int countOthers() throws IOException {
     List<Path> others;
     try (Stream<Path> files = Files.list(folder)) {
-      others = files.filter(file -> !file.equals(ownFile)).toList();
+      others = files.filter(this::isOfAnother).toList();
     }
     int alive = 0;
     for (Path other : others) {
@@ -53,6 +60,10 @@
     return alive;
   }
 
+  private boolean isOfAnother(Path file) {
+    return file.toString().endsWith(SUFFIX) && !file.equals(ownFile);
+  }
+
   private static boolean isLocked(Path file) throws IOException {
     try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE);
         FileLock lock = channel.tryLock()) {
--- a/src/test/java/dunlinhitch/server/OverlapMonitorTest.java
+++ b/src/test/java/dunlinhitch/server/OverlapMonitorTest.java
@@ -87,6 +87,22 @@
     assertEquals(new Event.OverlapStarted(NOW_US), events.poll(5, TimeUnit.SECONDS));
   }
 
+  /** Between the making of a file and its lock another process may look: it must not remove it. */
+  @Test
+  void aFileThatIsNotLockedYetIsLeftAlone() throws Exception {
+    Path unlocked = Files.createFile(folder.resolve("other.lock.new"));
+    try (ProcessLocks locks = new ProcessLocks(folder)) {
+      locks.acquire();
+      assertEquals(0, locks.countOthers());
+      assertTrue(Files.exists(unlocked));
+      try (ProcessLocks other = new ProcessLocks(folder)) {
+        other.acquire();
+        assertEquals(1, locks.countOthers());
+      }
+      assertEquals(0, locks.countOthers());
+    }
+  }
+
   @Test
   void aFolderThatCanNotBeUsedIsToldAndChangesNothing() throws Exception {
     Path file = Files.createFile(folder.resolve("file"));
