A request whose handler throws is answered; nesting of JSON is bounded

Callers saw: a body of nested arrays got neither an answer nor a close; 512 of them and everybody else got 503. Cause: the JSON parser recurses once a level and ends the event loop's stack (StackOverflowError). QueryReader and HttpFrontend.onQuery catch exceptions only, and a complete request (AWAITING_RESPONSE) has no timeout, so nothing ended it. Change: BoundedJson counts levels before it parses (32). Both frontends end a request whose handler throws anything. Exchanges ends a query that the reducer has not answered 0.2 s after its deadline (answers_overdue). ReducerLoop goes on after an Error as after an exception. Why it works: the first ends this body, the others end the class: whatever these lines throw, something owns the request's end.

--- a/src/main/java/dunlinhitch/config/ConfigReader.java
+++ b/src/main/java/dunlinhitch/config/ConfigReader.java
@@ -5,6 +5,7 @@
 import com.eclipsesource.json.JsonValue;
 import dunlinhitch.config.Config.Address;
 import dunlinhitch.config.Config.ConfigException;
+import dunlinhitch.text.BoundedJson;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
@@ -33,7 +34,7 @@
   /** Parses a file that contains one JSON object. */
   static JsonObject parse(Path file) {
     try {
-      return Json.parse(Files.readString(file)).asObject();
+      return BoundedJson.parse(Files.readString(file)).asObject();
     } catch (NoSuchFileException e) {
       throw new ConfigException("file not found: " + file);
     } catch (IOException | RuntimeException e) {
--- a/src/main/java/dunlinhitch/config/SettingsReader.java
+++ b/src/main/java/dunlinhitch/config/SettingsReader.java
@@ -1,6 +1,5 @@
 package dunlinhitch.config;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
@@ -13,6 +12,7 @@
 import dunlinhitch.balancer.settings.Settings;
 import dunlinhitch.balancer.settings.ShardLayout;
 import dunlinhitch.balancer.settings.Tenant;
+import dunlinhitch.text.BoundedJson;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -29,7 +29,7 @@
    * @throws RuntimeException if the text is not a settings object; the message is plain text
    */
   public static Settings read(String text) {
-    return read(Json.parse(text).asObject());
+    return read(BoundedJson.parse(text).asObject());
   }
 
   /**
--- a/src/main/java/dunlinhitch/core/Counter.java
+++ b/src/main/java/dunlinhitch/core/Counter.java
@@ -31,6 +31,8 @@
   GIVEN_UP_UNATTAINABLE("given_up_unattainable"),
   /** Queries ended because they appeared to crash the endpoints that executed them. */
   GIVEN_UP_SUSPECT("given_up_suspect"),
+  /** Queries whose deadline was exceeded without a response from the reducer. */
+  RESPONSES_OVERDUE("answers_overdue"),
   /** Queries whose client disconnected before it received the response. */
   CLIENTS_DISCONNECTED("client_left"),
   /** Queries that proceeded to a second step. */
--- a/src/main/java/dunlinhitch/discovery/EndpointListFormat.java
+++ b/src/main/java/dunlinhitch/discovery/EndpointListFormat.java
@@ -1,6 +1,5 @@
 package dunlinhitch.discovery;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
@@ -10,6 +9,7 @@
 import dunlinhitch.endpoints.EndpointClaim;
 import dunlinhitch.endpoints.EndpointRegistry;
 import dunlinhitch.endpoints.TimingWheel;
+import dunlinhitch.text.BoundedJson;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -93,7 +93,7 @@
     if (!header.substring(MAGIC.length()).equals(checksum(body))) {
       throw new IllegalArgumentException("the content does not match the checksum in the header");
     }
-    JsonObject root = Json.parse(new String(body, StandardCharsets.UTF_8)).asObject();
+    JsonObject root = BoundedJson.parse(new String(body, StandardCharsets.UTF_8)).asObject();
     Map<String, List<EndpointClaim>> bySource = new LinkedHashMap<>();
     for (JsonValue value : root.get("claims").asArray()) {
       JsonObject json = value.asObject();
--- a/src/main/java/dunlinhitch/frontend/Exchanges.java
+++ b/src/main/java/dunlinhitch/frontend/Exchanges.java
@@ -1,9 +1,11 @@
 package dunlinhitch.frontend;
 
+import dunlinhitch.core.Counter;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.QueryRequest;
 import dunlinhitch.core.QueryResponse;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -12,7 +14,20 @@
  * which also identifies the response. Used on the event loop only.
  */
 public final class Exchanges {
-  private final Map<Long, Consumer<QueryResponse>> openExchanges = new HashMap<>();
+  /**
+   * Time after the deadline of a query for which the reducer's response is awaited, in
+   * microseconds. A response that is half a second late counts as lost.
+   */
+  static final long OVERDUE_US = 200_000;
+
+  /**
+   * A query that waits for its response.
+   *
+   * @param overdueUs when the response is overdue, in microseconds
+   */
+  private record OpenExchange(Consumer<QueryResponse> writer, long overdueUs) {}
+
+  private final Map<Long, OpenExchange> openExchanges = new HashMap<>();
   private final Consumer<Event> events;
   private long lastExchange;
 
@@ -29,7 +44,7 @@
    */
   public long open(QueryRequest query, Consumer<QueryResponse> writer) {
     long exchange = ++lastExchange;
-    openExchanges.put(exchange, writer);
+    openExchanges.put(exchange, new OpenExchange(writer, query.deadlineUs() + OVERDUE_US));
     events.accept(new Event.QueryReceived(exchange, query));
     return exchange;
   }
@@ -43,9 +58,27 @@
 
   /** Completes an exchange; ignored if the client has disconnected. */
   public void complete(long exchange, QueryResponse response) {
-    Consumer<QueryResponse> writer = openExchanges.remove(exchange);
-    if (writer != null) {
-      writer.accept(response);
+    OpenExchange open = openExchanges.remove(exchange);
+    if (open != null) {
+      open.writer().accept(response);
+    }
+  }
+
+  /**
+   * Responds to the queries whose response is overdue; must be called periodically. The reducer
+   * responds by the deadline, but a query is unknown to it if the turn that received the query
+   * failed.
+   */
+  public void expireOverdue(long nowUs) {
+    List<Long> overdue =
+        openExchanges.entrySet().stream()
+            .filter(entry -> nowUs >= entry.getValue().overdueUs())
+            .map(Map.Entry::getKey)
+            .toList();
+    for (long exchange : overdue) {
+      events.accept(new Event.ConditionCounted(Counter.RESPONSES_OVERDUE));
+      events.accept(new Event.ClientDisconnected(exchange)); // ends the query if it is open
+      complete(exchange, new QueryResponse.DeadlineExceeded());
     }
   }
 
--- a/src/main/java/dunlinhitch/frontend/QueryReader.java
+++ b/src/main/java/dunlinhitch/frontend/QueryReader.java
@@ -1,6 +1,5 @@
 package dunlinhitch.frontend;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
@@ -8,6 +7,7 @@
 import dunlinhitch.balancer.settings.QueryClass;
 import dunlinhitch.balancer.settings.Settings;
 import dunlinhitch.core.QueryRequest;
+import dunlinhitch.text.BoundedJson;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -98,7 +98,7 @@
         queryClass.idempotency() == Idempotency.GUARDED ? token(header, IDEMPOTENCY_KEY) : "";
     long leftUs = timeoutUs(queryClass, header.apply(EXPIRES_IN));
     try {
-      JsonObject object = Json.parse(body).asObject();
+      JsonObject object = BoundedJson.parse(body).asObject();
       JsonValue text = required(object, "predicate");
       return new QueryRequest(
           id,
--- a/src/main/java/dunlinhitch/frontend/flight/FlightFrontend.java
+++ b/src/main/java/dunlinhitch/frontend/flight/FlightFrontend.java
@@ -1,6 +1,7 @@
 package dunlinhitch.frontend.flight;
 
 import dunlinhitch.balancer.settings.QueryClass;
+import dunlinhitch.concurrent.Faults;
 import dunlinhitch.core.Counter;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.QueryRequest;
@@ -64,6 +65,7 @@
   /** Error metadata: seconds after which a retry may succeed. */
   public static final String RETRY_AFTER = "retry-after";
 
+  private static final CallStatus FAILED = CallStatus.INTERNAL.withDescription("failed");
   private static final double US_PER_SECOND = 1e6;
   private static final int IDLE_THREAD_SECONDS = 10;
   private static final long BUFFER_BYTES = 32L << 20;
@@ -163,9 +165,9 @@
     @Override
     public void getStream(CallContext call, Ticket ticket, ServerStreamListener listener) {
       long receivedUs = clock.getAsLong();
-      Deadline deadline = io.grpc.Context.current().getDeadline();
-      CallHeaders headers = call.getMiddleware(HEADERS).headers();
       try {
+        Deadline deadline = io.grpc.Context.current().getDeadline();
+        CallHeaders headers = call.getMiddleware(HEADERS).headers();
         QueryRequest query = read(headers, ticket, receivedUs);
         // The deadline of the gRPC call limits the deadline of the query.
         if (deadline != null) {
@@ -179,6 +181,8 @@
             ignored -> events.accept(new Event.ConditionCounted(Counter.BAD_REQUESTS)));
         listener.error(
             CallStatus.INVALID_ARGUMENT.withDescription(e.getMessage()).toRuntimeException());
+      } catch (RuntimeException | Error fault) {
+        end(listener, fault);
       }
     }
 
@@ -211,6 +215,15 @@
     private boolean disconnected;
   }
 
+  /** Ends a call whose handler threw, and reports the fault on the event loop. */
+  private void end(FlightProducer.ServerStreamListener listener, Throwable fault) {
+    try {
+      listener.error(FAILED.toRuntimeException());
+    } finally {
+      Faults.report(task -> context.runOnContext(ignored -> task.run()), fault);
+    }
+  }
+
   private void open(QueryRequest query, FlightProducer.ServerStreamListener listener) {
     Call call = new Call();
     listener.setOnCancelHandler(
@@ -222,18 +235,30 @@
                 }));
     context.runOnContext(
         ignored -> {
-          if (!call.disconnected) {
+          if (call.disconnected) {
+            return;
+          }
+          try {
             call.exchange =
                 exchanges.open(
                     query, response -> callThreads.execute(() -> write(listener, response)));
+          } catch (RuntimeException | Error fault) {
+            end(listener, fault);
           }
         });
   }
 
   private void write(FlightProducer.ServerStreamListener listener, QueryResponse response) {
-    if (listener.isCancelled()) {
-      return;
+    try {
+      if (!listener.isCancelled()) {
+        writeResponse(listener, response);
+      }
+    } catch (RuntimeException | Error fault) {
+      end(listener, fault);
     }
+  }
+
+  private void writeResponse(FlightProducer.ServerStreamListener listener, QueryResponse response) {
     if (response instanceof QueryResponse.Served served) {
       writeServed(listener, served);
     } else if (response instanceof QueryResponse.Rejected rejected) {
@@ -241,7 +266,7 @@
     } else if (response instanceof QueryResponse.DeadlineExceeded) {
       listener.error(CallStatus.TIMED_OUT.withDescription("out of time").toRuntimeException());
     } else {
-      listener.error(CallStatus.INTERNAL.withDescription("failed").toRuntimeException());
+      listener.error(FAILED.toRuntimeException());
     }
   }
 
@@ -253,11 +278,6 @@
       listener.start(root);
       listener.putNext();
       listener.completed();
-    } catch (RuntimeException e) { // the call must be completed after any exception
-      listener.error(
-          CallStatus.INTERNAL
-              .withDescription("the answer could not be written")
-              .toRuntimeException());
     }
   }
 
--- a/src/main/java/dunlinhitch/frontend/http/HttpFrontend.java
+++ b/src/main/java/dunlinhitch/frontend/http/HttpFrontend.java
@@ -287,10 +287,30 @@
       connections.onDisconnect(request, () -> exchanges.clientDisconnected(exchange));
     } catch (MalformedQueryException e) {
       respondBadRequest(request, BAD_REQUEST, e.getMessage());
+    } catch (RuntimeException | Error fault) {
+      respondToFault(request);
+      throw fault; // Vert.x reports it
     }
   }
 
+  /**
+   * Ends a request whose handler threw. Nothing else would end it: a complete request has no
+   * timeout.
+   */
+  private void respondToFault(HttpServerRequest request) {
+    respond(request, INTERNAL_ERROR, TEXT, Buffer.buffer("failed\n"), true);
+  }
+
   private void writeResponse(HttpServerRequest request, QueryResponse response) {
+    try {
+      write(request, response);
+    } catch (RuntimeException | Error fault) {
+      respondToFault(request);
+      throw fault; // the caller reports it
+    }
+  }
+
+  private void write(HttpServerRequest request, QueryResponse response) {
     if (response instanceof QueryResponse.Served served) {
       writeServed(request, served);
     } else if (response instanceof QueryResponse.Rejected rejected) {
--- a/src/main/java/dunlinhitch/server/Frontends.java
+++ b/src/main/java/dunlinhitch/server/Frontends.java
@@ -17,6 +17,10 @@
 
 /** The frontends of a broker: HTTP, and Arrow Flight if it is enabled. Runs on the event loop. */
 final class Frontends {
+  /** Interval between two checks for exchanges whose response is overdue, in milliseconds. */
+  private static final long OVERDUE_CHECK_MS = 100;
+
+  private final BrokerRuntime runtime;
   private final Config config;
   private final Consumer<String> log;
   private final Exchanges exchanges;
@@ -27,6 +31,7 @@
 
   private int httpPort;
   private int flightPort;
+  private long overdueTimer;
 
   Frontends(
       BrokerRuntime runtime,
@@ -35,6 +40,7 @@
       ClientListener listener,
       BooleanSupplier ready,
       Consumer<Event> events) {
+    this.runtime = runtime;
     config = runtime.config();
     log = runtime.log();
     exchanges = new Exchanges(events);
@@ -65,6 +71,11 @@
 
   /** Listens for HTTP and then for Arrow Flight, if it is enabled. */
   Future<Void> listen() {
+    overdueTimer =
+        runtime
+            .vertx()
+            .setPeriodic(
+                OVERDUE_CHECK_MS, timer -> exchanges.expireOverdue(runtime.clock().getAsLong()));
     return http.listen(config.listen().host(), config.listen().port())
         .onSuccess(port -> httpPort = port)
         .compose(port -> listenForFlight());
@@ -112,6 +123,7 @@
   Future<Void> close(long dueUs) {
     return Future.join(
             http.close(dueUs), flight == null ? Future.succeededFuture() : flight.close(dueUs))
+        .onComplete(closed -> runtime.vertx().cancelTimer(overdueTimer))
         .mapEmpty();
   }
 }
--- a/src/main/java/dunlinhitch/server/ReducerLoop.java
+++ b/src/main/java/dunlinhitch/server/ReducerLoop.java
@@ -104,12 +104,13 @@
 
   /**
    * Runs a turn. A fault in one turn must not end the loop. Later turns time out the queries that
-   * the faulty turn left open.
+   * the faulty turn left open; queries that it did not register expire in the frontends' table of
+   * exchanges.
    */
   private List<Effect> reduce(List<Event> events) {
     try {
       return reducer.turn(lastTurnUs, Math.min(turnRequestedUs, lastTurnUs), events);
-    } catch (RuntimeException fault) {
+    } catch (RuntimeException | Error fault) {
       faultHandler.accept(fault);
       return List.of(new Effect.ScheduleWakeUp(lastTurnUs + tickUs.getAsLong()));
     }
@@ -133,7 +134,7 @@
     }
     try {
       effectHandler.accept(effect);
-    } catch (RuntimeException fault) {
+    } catch (RuntimeException | Error fault) {
       faultHandler.accept(fault);
     }
   }
--- a/src/test/java/dunlinhitch/PackagesTest.java
+++ b/src/test/java/dunlinhitch/PackagesTest.java
@@ -41,12 +41,13 @@
           Map.entry(
               "core",
               Set.of("core", "endpoints", "twophase", "cluster", "cluster/versions", "balancer")),
-          Map.entry("config", Set.of("config", "config/syntax", "balancer")),
+          Map.entry("text", Set.of("text")),
+          Map.entry("config", Set.of("config", "config/syntax", "balancer", "text")),
           Map.entry("concurrent", Set.of("concurrent")),
-          Map.entry("frontend", Set.of("frontend", "core", "balancer", "concurrent")),
+          Map.entry("frontend", Set.of("frontend", "core", "balancer", "concurrent", "text")),
           Map.entry("admin", Set.of("admin", "core", "balancer")),
           Map.entry("backend", Set.of("backend", "core", "endpoints", "balancer", "concurrent")),
-          Map.entry("discovery", Set.of("discovery", "core", "endpoints", "balancer")),
+          Map.entry("discovery", Set.of("discovery", "core", "endpoints", "balancer", "text")),
           Map.entry(
               "cluster/gossip", Set.of("cluster/gossip", "core", "cluster", "cluster/versions")),
           Map.entry("simulator", Set.of("simulator", "config", "balancer")));
--- a/src/test/java/dunlinhitch/config/ConfigFileTest.java
+++ b/src/test/java/dunlinhitch/config/ConfigFileTest.java
@@ -9,6 +9,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -18,6 +21,10 @@
       "{\"Name\":\"a\",\"DeadlineUs\":1000000,\"OnTimeUs\":500000,\"Idempotency\":\"free\"}";
   private static final String CLASS_B =
       "{\"Name\":\"b\",\"DeadlineUs\":2000000,\"OnTimeUs\":500000,\"Idempotency\":\"free\"}";
+
+  /** Stack that less than the parser's own limit of 1,000 levels exhausts, in bytes. */
+  private static final long SMALL_STACK_BYTES = 192 * 1024;
+
   @TempDir private Path folder;
 
   private static String configWith(String classes, String limits) {
@@ -28,6 +35,23 @@
         + "},\"FailureDomains\":[\"x\"]}}";
   }
 
+  /** Guards against a stack overflow, in place of an error that names the file, at the start. */
+  @Test
+  void deeplyNestedFileIsRejected() throws Exception {
+    Path path = folder.resolve("config.json");
+    String valid = configWith(CLASS_A, "\"MaxAttempts\":4");
+    String nested = "{\"other\":" + "[".repeat(999) + "]".repeat(999) + ",";
+    Files.writeString(path, nested + valid.substring(1));
+    ConfigFile file = new ConfigFile(path, folder.resolve("none"), Map.of());
+    FutureTask<Config> reading = new FutureTask<>(file::read);
+    new Thread(null, reading, "small stack", SMALL_STACK_BYTES).start();
+    ExecutionException failure =
+        assertThrows(ExecutionException.class, () -> reading.get(10, TimeUnit.SECONDS));
+    assertEquals(
+        "cannot read " + path + ": nested more than 32 levels deep",
+        failure.getCause().getMessage());
+  }
+
   @Test
   void reloadIsAllOrNothing() throws IOException {
     Path path = folder.resolve("config.json");
--- a/src/test/java/dunlinhitch/frontend/QueryReaderTest.java
+++ b/src/test/java/dunlinhitch/frontend/QueryReaderTest.java
@@ -7,11 +7,17 @@
 import dunlinhitch.experiments.fakes.BrokerFixture;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
-/** Error messages for queries with a missing field. */
 class QueryReaderTest {
+  /** Stack that less than the parser's own limit of 1,000 levels exhausts, in bytes. */
+  private static final long STACK_BYTES = 192 * 1024;
+
   private final Settings settings = BrokerFixture.settings(40);
   private final QueryReader reader = new QueryReader(() -> settings);
 
@@ -26,17 +32,72 @@
       },
       quoteCharacter = '"')
   void missingFieldIsNamed(String message, String body) {
-    Map<String, String> headers = Map.of("X-Trace-Id", "t1", "X-Expires-In", "1.0");
     MalformedQueryException error =
-        assertThrows(
-            MalformedQueryException.class,
-            () ->
-                reader.read(
-                    settings.classes().get(0),
-                    headers::get,
-                    List.of(),
-                    body.replace('\'', '"'),
-                    0));
+        assertThrows(MalformedQueryException.class, () -> read(body.replace('\'', '"')));
     assertEquals(message, error.getMessage());
   }
+
+  private static final String NESTED = "the body is no query: nested more than 32 levels deep";
+
+  /**
+   * Guards against a stack overflow of the thread that reads a request: nested arrays and objects
+   * are rejected, wherever they stand, before the recursive parser sees them.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {32, 900, 999, 3_000, 10_000})
+  void deeplyNestedBodyIsMalformed(int depth) throws Exception {
+    String arrays = "[".repeat(depth) + "]".repeat(depth);
+    String objects = "{\"a\":".repeat(depth) + "1" + "}".repeat(depth);
+    for (String body :
+        List.of(
+            "{\"ranges\":" + arrays + ",\"predicate\":\"x\"}",
+            "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":" + objects + "}",
+            "{\"unknown\":" + arrays + "}",
+            "{\"a\\\"\":\"\\\\\",\"unknown\":" + objects + "}",
+            "[".repeat(depth + 1),
+            "{\"a\":".repeat(depth + 1))) {
+      assertEquals(NESTED, failure(body), body.substring(0, 20));
+    }
+  }
+
+  @Test
+  void bracketsInStringsAreNotNesting() throws Exception {
+    String brackets = "[{\\\"[".repeat(100);
+    String unknown = "[".repeat(31) + "]".repeat(31);
+    assertEquals(
+        "accepted",
+        failure(
+            "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\""
+                + brackets
+                + "\",\"unknown\":"
+                + unknown
+                + "}"));
+  }
+
+  /** Reads a body on a thread with a small stack; returns why it was rejected. */
+  private String failure(String body) throws Exception {
+    CompletableFuture<String> result = new CompletableFuture<>();
+    Thread thread =
+        new Thread(
+            null,
+            () -> {
+              try {
+                read(body);
+                result.complete("accepted");
+              } catch (MalformedQueryException e) {
+                result.complete(e.getMessage());
+              } catch (RuntimeException | Error e) {
+                result.complete("thrown: " + e);
+              }
+            },
+            "small stack",
+            STACK_BYTES);
+    thread.start();
+    return result.get(10, TimeUnit.SECONDS);
+  }
+
+  private void read(String body) throws MalformedQueryException {
+    Map<String, String> headers = Map.of("X-Trace-Id", "t1", "X-Expires-In", "1.0");
+    reader.read(settings.classes().get(0), headers::get, List.of(), body, 0);
+  }
 }
--- a/src/test/java/dunlinhitch/server/ReducerLoopTest.java
+++ b/src/test/java/dunlinhitch/server/ReducerLoopTest.java
@@ -18,12 +18,15 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Turns of the reducer on an event loop. */
 class ReducerLoopTest {
   /** A response that cannot be written must not prevent the responses to other clients. */
-  @Test
-  void faultInAHandlerDoesNotStopTheOtherEffects() throws Exception {
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void faultInAHandlerDoesNotStopTheOtherEffects(boolean error) throws Exception {
     Vertx vertx = Vertx.vertx();
     Context context = vertx.getOrCreateContext();
     MicroClock clock = new MicroClock();
@@ -38,6 +41,9 @@
               effect -> {
                 if (effect instanceof Effect.SendResponse reply) {
                   replies.add(reply.exchange());
+                  if (error) {
+                    throw new AssertionError("a write that fails");
+                  }
                   throw new IllegalStateException("a write that fails");
                 }
               });
