A query text that cannot be passed on unchanged is rejected

Callers saw: a text that is no UTF-8, or has the escape of half a surrogate pair, was answered 200, total true, with the answer to another text. Cause: lenient conversions. HttpFrontend (body.toString) and FlightFrontend (new String) replaced malformed bytes by U+FFFD; RequestText (getBytes) replaced half a pair by '?'. Answers of stores were read strictly, requests were not. Change: QueryReader takes bytes and decodes them strictly for both frontends, and rejects a predicate that has no UTF-8. ExactText moves to the package text. Why it works: what passes both checks is encoded to the bytes that were sent; nothing later converts the text.

--- a/src/main/java/dunlinhitch/backend/flight/FlightCall.java
+++ b/src/main/java/dunlinhitch/backend/flight/FlightCall.java
@@ -1,11 +1,11 @@
 package dunlinhitch.backend.flight;
 
-import dunlinhitch.backend.ExactText;
 import dunlinhitch.backend.RequestText;
 import dunlinhitch.balancer.AttemptOutcome;
 import dunlinhitch.core.Counter;
 import dunlinhitch.core.Effect.AttemptRequest;
 import dunlinhitch.core.Event;
+import dunlinhitch.text.ExactText;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/main/java/dunlinhitch/backend/frames/ReplyParser.java
+++ b/src/main/java/dunlinhitch/backend/frames/ReplyParser.java
@@ -1,8 +1,8 @@
 package dunlinhitch.backend.frames;
 
-import dunlinhitch.backend.ExactText;
 import dunlinhitch.backend.RequestText;
 import dunlinhitch.balancer.AttemptOutcome;
+import dunlinhitch.text.ExactText;
 import io.vertx.core.buffer.Buffer;
 
 /** Parses the payloads of reply frames from stores. Stateless. */
--- a/src/main/java/dunlinhitch/experiments/fakes/Client.java
+++ b/src/main/java/dunlinhitch/experiments/fakes/Client.java
@@ -38,7 +38,13 @@
   record Response(String outcome, Map<Integer, String> parts, String retryAfter) {}
 
   /** Sends a query; cancelling the future cancels the request. */
-  CompletableFuture<Response> send(String queryClass, Map<String, String> headers, String body);
+  CompletableFuture<Response> send(String queryClass, Map<String, String> headers, byte[] body);
+
+  /** Sends a query whose body is encoded in UTF-8; cancelling the future cancels the request. */
+  default CompletableFuture<Response> send(
+      String queryClass, Map<String, String> headers, String body) {
+    return send(queryClass, headers, body.getBytes(StandardCharsets.UTF_8));
+  }
 
   /** Closes the connections. */
   void close() throws Exception;
@@ -64,10 +70,10 @@
     return new Client() {
       @Override
       public CompletableFuture<Response> send(
-          String queryClass, Map<String, String> headers, String body) {
+          String queryClass, Map<String, String> headers, byte[] body) {
         HttpRequest.Builder request =
             HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/" + queryClass))
-                .POST(HttpRequest.BodyPublishers.ofString(body));
+                .POST(HttpRequest.BodyPublishers.ofByteArray(body));
         headers.forEach(request::header);
         CompletableFuture<HttpResponse<String>> sent =
             client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
@@ -117,13 +123,13 @@
     return new Client() {
       @Override
       public CompletableFuture<Response> send(
-          String queryClass, Map<String, String> headers, String body) {
+          String queryClass, Map<String, String> headers, byte[] body) {
         FlightCallHeaders sent = new FlightCallHeaders();
         headers.forEach(sent::insert);
         sent.insert("X-Qos", queryClass);
         FlightStream stream =
             client.getStream(
-                new Ticket(body.getBytes(StandardCharsets.UTF_8)),
+                new Ticket(body),
                 new HeaderCallOption(sent),
                 CallOptions.timeout(10, TimeUnit.SECONDS));
         CompletableFuture<Response> response =
--- a/src/main/java/dunlinhitch/frontend/QueryReader.java
+++ b/src/main/java/dunlinhitch/frontend/QueryReader.java
@@ -8,6 +8,7 @@
 import dunlinhitch.balancer.settings.Settings;
 import dunlinhitch.core.QueryRequest;
 import dunlinhitch.text.BoundedJson;
+import dunlinhitch.text.ExactText;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -90,16 +91,19 @@
       QueryClass queryClass,
       UnaryOperator<String> header,
       Iterable<String> customers,
-      String body,
+      byte[] body,
       long receivedUs)
       throws MalformedQueryException {
     String id = token(header, TRACE_ID);
     String key =
         queryClass.idempotency() == Idempotency.GUARDED ? token(header, IDEMPOTENCY_KEY) : "";
     long leftUs = timeoutUs(queryClass, header.apply(EXPIRES_IN));
+    String json = ExactText.of(body);
+    if (json == null) {
+      throw new MalformedQueryException("the body is not valid UTF-8");
+    }
     try {
-      JsonObject object = BoundedJson.parse(body).asObject();
-      JsonValue text = required(object, "predicate");
+      JsonObject object = BoundedJson.parse(json).asObject();
       return new QueryRequest(
           id,
           key,
@@ -108,7 +112,7 @@
           receivedUs + leftUs,
           FLAG_SET.equals(header.apply(CLIENT_RETRY)),
           parts(object.get("ranges")),
-          text.asString(),
+          predicate(object),
           FLAG_SET.equals(header.apply(SHOW_PRUNED)));
     } catch (RuntimeException e) {
       // the JSON library throws several unrelated types for a value of the wrong kind
@@ -116,6 +120,15 @@
     }
   }
 
+  /** Returns the text that the stores get, which must arrive there unchanged. */
+  private static String predicate(JsonObject object) throws MalformedQueryException {
+    String text = required(object, "predicate").asString();
+    if (!ExactText.isEncodable(text)) {
+      throw new MalformedQueryException("predicate has half of a surrogate pair");
+    }
+    return text;
+  }
+
   /**
    * Returns the time to the deadline of the class or to the client's deadline, whichever is
    * earlier.
--- a/src/main/java/dunlinhitch/frontend/flight/FlightFrontend.java
+++ b/src/main/java/dunlinhitch/frontend/flight/FlightFrontend.java
@@ -201,7 +201,7 @@
           queryClass,
           headers::get,
           customers == null ? List.of() : customers,
-          new String(ticket.getBytes(), StandardCharsets.UTF_8),
+          ticket.getBytes(),
           receivedUs);
     }
   }
--- a/src/main/java/dunlinhitch/frontend/http/HttpFrontend.java
+++ b/src/main/java/dunlinhitch/frontend/http/HttpFrontend.java
@@ -281,7 +281,7 @@
                   queryClass,
                   request::getHeader,
                   request.headers().getAll(QueryReader.CUSTOMER),
-                  body.toString(),
+                  body.getBytes(),
                   receivedUs),
               response -> writeResponse(request, response));
       connections.onDisconnect(request, () -> exchanges.clientDisconnected(exchange));
--- a/src/main/java/dunlinhitch/text/ExactText.java
+++ b/src/main/java/dunlinhitch/text/ExactText.java
@@ -1,16 +1,19 @@
-package dunlinhitch.backend;
+package dunlinhitch.text;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 
-/** Strict UTF-8 decoder: if a decoded text is encoded again, the result is the original bytes. */
+/**
+ * Strict conversion between bytes and texts: a text that passes these checks is passed on byte for
+ * byte. Java's own conversions replace what they cannot convert, in silence.
+ */
 public final class ExactText {
   private ExactText() {}
 
   /**
    * Decodes the bytes, or returns null if they are not valid UTF-8. Invalid bytes are not replaced,
-   * because replacement characters would alter the text that the store sent.
+   * because replacement characters would alter the text that the sender meant.
    */
   public static String of(byte[] bytes) {
     try {
@@ -19,4 +22,12 @@
       return null;
     }
   }
+
+  /**
+   * Returns whether the text can be encoded in UTF-8. Half of a surrogate pair, which a JSON escape
+   * may leave in a text, stands for no character and has no encoding.
+   */
+  public static boolean isEncodable(String text) {
+    return StandardCharsets.UTF_8.newEncoder().canEncode(text);
+  }
 }
--- a/src/test/java/dunlinhitch/PackagesTest.java
+++ b/src/test/java/dunlinhitch/PackagesTest.java
@@ -46,7 +46,8 @@
           Map.entry("concurrent", Set.of("concurrent")),
           Map.entry("frontend", Set.of("frontend", "core", "balancer", "concurrent", "text")),
           Map.entry("admin", Set.of("admin", "core", "balancer")),
-          Map.entry("backend", Set.of("backend", "core", "endpoints", "balancer", "concurrent")),
+          Map.entry(
+              "backend", Set.of("backend", "core", "endpoints", "balancer", "concurrent", "text")),
           Map.entry("discovery", Set.of("discovery", "core", "endpoints", "balancer", "text")),
           Map.entry(
               "cluster/gossip", Set.of("cluster/gossip", "core", "cluster", "cluster/versions")),
--- a/src/test/java/dunlinhitch/frontend/QueryReaderTest.java
+++ b/src/test/java/dunlinhitch/frontend/QueryReaderTest.java
@@ -3,8 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.eclipsesource.json.Json;
 import dunlinhitch.balancer.settings.Settings;
+import dunlinhitch.core.QueryRequest;
 import dunlinhitch.experiments.fakes.BrokerFixture;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -33,7 +38,9 @@
       quoteCharacter = '"')
   void missingFieldIsNamed(String message, String body) {
     MalformedQueryException error =
-        assertThrows(MalformedQueryException.class, () -> read(body.replace('\'', '"')));
+        assertThrows(
+            MalformedQueryException.class,
+            () -> read(body.replace('\'', '"').getBytes(StandardCharsets.UTF_8)));
     assertEquals(message, error.getMessage());
   }
 
@@ -82,7 +89,7 @@
             null,
             () -> {
               try {
-                read(body);
+                read(body.getBytes(StandardCharsets.UTF_8));
                 result.complete("accepted");
               } catch (MalformedQueryException e) {
                 result.complete(e.getMessage());
@@ -96,8 +103,49 @@
     return result.get(10, TimeUnit.SECONDS);
   }
 
-  private void read(String body) throws MalformedQueryException {
+  /**
+   * Guards against a query that is altered and then served: a text that cannot be passed on
+   * unchanged is rejected.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "c3, the body is not valid UTF-8",
+    "fc, the body is not valid UTF-8",
+    "c080, the body is not valid UTF-8",
+    "eda0bc, the body is not valid UTF-8",
+    "f4908080, the body is not valid UTF-8",
+    "5c7564383363, predicate has half of a surrogate pair",
+    "5c7564666235, predicate has half of a surrogate pair",
+    "5c75646662355c7564383363, predicate has half of a surrogate pair",
+    "5c75643833635c7564383363, predicate has half of a surrogate pair"
+  })
+  void textThatCannotBePassedOnIsMalformed(String bytes, String message) {
+    MalformedQueryException error =
+        assertThrows(
+            MalformedQueryException.class, () -> read(bodyWith(HexFormat.of().parseHex(bytes))));
+    assertEquals(message, error.getMessage());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"c3bc", "f09f8eb5", "efbfbd", "5c75643833635c7564666235", "5c7530306663"})
+  void everyCharacterIsPassedOn(String bytes) throws Exception {
+    byte[] text = HexFormat.of().parseHex(bytes);
+    String expected = Json.parse('"' + new String(text, StandardCharsets.UTF_8) + '"').asString();
+    assertEquals("x" + expected, read(bodyWith(text)).text());
+  }
+
+  private static byte[] bodyWith(byte[] text) {
+    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    body.writeBytes(
+        "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"x"
+            .getBytes(StandardCharsets.US_ASCII));
+    body.writeBytes(text);
+    body.writeBytes("\"}".getBytes(StandardCharsets.US_ASCII));
+    return body.toByteArray();
+  }
+
+  private QueryRequest read(byte[] body) throws MalformedQueryException {
     Map<String, String> headers = Map.of("X-Trace-Id", "t1", "X-Expires-In", "1.0");
-    reader.read(settings.classes().get(0), headers::get, List.of(), body, 0);
+    return reader.read(settings.classes().get(0), headers::get, List.of(), body, 0);
   }
 }
--- a/src/test/java/dunlinhitch/server/ServingRulesTest.java
+++ b/src/test/java/dunlinhitch/server/ServingRulesTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.eclipsesource.json.Json;
 import dunlinhitch.experiments.fakes.BrokerFixture;
 import dunlinhitch.experiments.fakes.Client;
 import dunlinhitch.experiments.fakes.Client.Response;
@@ -15,6 +16,7 @@
 import dunlinhitch.experiments.fakes.Store;
 import dunlinhitch.experiments.fakes.Store.Behavior;
 import dunlinhitch.experiments.fakes.Store.ReceivedPart;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -338,6 +340,32 @@
     assertEquals(0, fixture.counter("queries_taken"));
   }
 
+  /**
+   * Guards against a query text that is altered, sent to a store and served: over every path a text
+   * that cannot be passed on unchanged is rejected, and any other reaches the store as it was sent.
+   */
+  @ParameterizedTest
+  @EnumSource(Path.class)
+  void textsReachTheStoresUnchangedOrNotAtAll(Path path) throws Exception {
+    begin(path, 300);
+    byte[] latin = Client.body(1).getBytes(StandardCharsets.ISO_8859_1);
+    String id = "X-Trace-Id";
+    assertEquals("bad", wait(client.send("free-search", Map.of(id, "a"), latin)).outcome());
+    for (String half : List.of("\\ud83c", "\\udfb5", "\\udfb5\\ud83c")) {
+      String body = Client.body(1).replace("é", half);
+      assertEquals("bad", wait(ask("free-search", body)).outcome(), half);
+    }
+    assertEquals(0, firstStore.receivedParts.size() + secondStore.receivedParts.size());
+    for (String text : List.of("é", "\uD83C\uDFB5", "\uFFFD", "\u0000")) {
+      String escaped = Json.value(text).toString().replace("\"", "");
+      assertEquals(
+          "whole", wait(ask("free-search", Client.body(1).replace("é", escaped))).outcome());
+      ReceivedPart part = firstStore.receivedParts.poll();
+      part = part == null ? secondStore.receivedParts.poll() : part;
+      assertEquals("tenors " + text, part.text());
+    }
+  }
+
   private CompletableFuture<Response> ask(String queryClass, String body) {
     return client.send(queryClass, Map.of("X-Trace-Id", "q" + ++queryCount), body);
   }
