A Flight reply without a text value is malformed, not an empty answer

Callers saw: 200, total true, with an empty text for a part whose store had answered null, no column, or another type than utf8. Cause: FlightCall.rows read each cell that is no VarCharVector's text as "", and onRow takes "" for a value. Change: ReplyRow reads a row; id, end and, for good, value must be there as text, utf8 or large_utf8. Otherwise the attempt may have run and has failed (bad_frames). later and bad need no value; score and report stay optional. Why it works: absent, wrong type and empty are no longer one, and only a text that a store wrote becomes a value.

--- a/src/main/java/dunlinhitch/backend/flight/FlightCall.java
+++ b/src/main/java/dunlinhitch/backend/flight/FlightCall.java
@@ -5,8 +5,6 @@
 import dunlinhitch.core.Counter;
 import dunlinhitch.core.Effect.AttemptRequest;
 import dunlinhitch.core.Event;
-import dunlinhitch.text.ExactText;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,9 +17,6 @@
 import org.apache.arrow.flight.FlightStatusCode;
 import org.apache.arrow.flight.FlightStream;
 import org.apache.arrow.flight.Ticket;
-import org.apache.arrow.vector.FieldVector;
-import org.apache.arrow.vector.VarCharVector;
-import org.apache.arrow.vector.VectorSchemaRoot;
 
 /**
  * One call to a store: a DoGet whose stream has a row for each part. The stream is read on a reader
@@ -29,13 +24,8 @@
  * whose rows were received are complete and the others may have run.
  */
 final class FlightCall implements Runnable {
-  static final List<String> COLUMNS = List.of("id", "end", "score", "report", "value");
-
   private static final String CANCEL_REASON = "cancelled by the broker";
 
-  /** One row as received; a field that is not valid UTF-8 is null. */
-  private record Row(String partId, String end, double score, String report, String value) {}
-
   /** Receives the outcomes of a call's attempts; called on the event loop. */
   interface Listener {
     /** Called once for each attempt that was not cancelled. */
@@ -210,7 +200,7 @@
         opened.cancel(CANCEL_REASON, null);
       }
       while (opened.next()) {
-        List<Row> rows = rows(opened.getRoot());
+        List<ReplyRow> rows = ReplyRow.readAll(opened.getRoot());
         shared.onLoop(() -> rows.forEach(this::onRow));
       }
     } finally {
@@ -228,31 +218,9 @@
     }
   }
 
-  private static List<Row> rows(VectorSchemaRoot root) {
-    List<Row> rows = new ArrayList<>();
-    for (int row = 0; row < root.getRowCount(); row++) {
-      List<String> values = new ArrayList<>();
-      for (String column : COLUMNS) {
-        FieldVector vector = root.getVector(column);
-        byte[] bytes = vector instanceof VarCharVector text ? text.get(row) : null;
-        values.add(bytes == null ? "" : ExactText.of(bytes));
-      }
-      rows.add(
-          new Row(
-              values.get(0),
-              values.get(1),
-              values.get(2) == null ? Double.NaN : RequestText.parseScore(values.get(2)),
-              values.get(3),
-              values.get(4)));
-    }
-    return rows;
-  }
-
-  private void onRow(Row row) {
-    AttemptOutcome outcome =
-        row.partId() == null || row.end() == null ? null : RequestText.parseOutcome(row.end());
+  private void onRow(ReplyRow row) {
     boolean requested = inFlight.containsKey(row.partId()) || ended.contains(row.partId());
-    if (outcome == null || row.value() == null || !requested) {
+    if (row.isMalformed() || !requested) {
       // after an invalid row the rest of the stream cannot be trusted
       shared.events().accept(new Event.ConditionCounted(Counter.BAD_FRAMES));
       abandon();
@@ -267,8 +235,8 @@
     listener.onCompleted(
         new Event.AttemptCompleted(
             attempt,
-            outcome,
-            shared.reports().parse(row.report() == null ? "" : row.report()),
+            row.outcome(),
+            shared.reports().parse(row.report()),
             row.value(),
             row.score()));
   }
--- a/src/main/java/dunlinhitch/experiments/fakes/FlightStore.java
+++ b/src/main/java/dunlinhitch/experiments/fakes/FlightStore.java
@@ -2,6 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -18,6 +20,9 @@
 import org.apache.arrow.flight.Ticket;
 import org.apache.arrow.memory.BufferAllocator;
 import org.apache.arrow.memory.RootAllocator;
+import org.apache.arrow.vector.FieldVector;
+import org.apache.arrow.vector.LargeVarCharVector;
+import org.apache.arrow.vector.VarBinaryVector;
 import org.apache.arrow.vector.VarCharVector;
 import org.apache.arrow.vector.VectorSchemaRoot;
 import org.apache.arrow.vector.types.pojo.ArrowType;
@@ -26,11 +31,12 @@
 
 /** A fake store with Arrow Flight. The answer to a part is one row in a record batch of its own. */
 public final class FlightStore extends Store {
-  private static final Schema SCHEMA =
-      new Schema(
-          List.of("id", "end", "score", "report", "value").stream()
-              .map(name -> Field.nullable(name, ArrowType.Utf8.INSTANCE))
-              .toList());
+  private static final List<String> COLUMNS = List.of("id", "end", "score", "report", "value");
+
+  /** Columns whose cells are null in every answer. */
+  public volatile Set<String> nullColumns = Set.of();
+
+  private volatile Schema schema = schema(COLUMNS, Map.of());
 
   /**
    * The executor of all fakes. It is never shut down: a pool that is shut down together with one
@@ -57,12 +63,29 @@
             .start();
   }
 
+  private static Schema schema(List<String> columns, Map<String, ArrowType> types) {
+    return new Schema(
+        columns.stream()
+            .map(name -> Field.nullable(name, types.getOrDefault(name, ArrowType.Utf8.INSTANCE)))
+            .toList());
+  }
+
+  /** Sets the type of a column in the answers to later calls. */
+  public void setColumnType(String column, ArrowType type) {
+    schema = schema(COLUMNS, Map.of(column, type));
+  }
+
+  /** Leaves a column out of the answers to later calls. */
+  public void removeColumn(String column) {
+    schema = schema(COLUMNS.stream().filter(name -> !name.equals(column)).toList(), Map.of());
+  }
+
   private final class Producer extends NoOpFlightProducer {
     @Override
     public void getStream(CallContext context, Ticket ticket, ServerStreamListener listener) {
       CountDownLatch cancelled = new CountDownLatch(1);
       listener.setOnCancelHandler(cancelled::countDown);
-      try (VectorSchemaRoot root = VectorSchemaRoot.create(SCHEMA, allocator)) {
+      try (VectorSchemaRoot root = VectorSchemaRoot.create(schema, allocator)) {
         listener.start(root);
         boolean answerMissing = false;
         if (answerDelayMs > 0) {
@@ -108,7 +131,7 @@
           answer.records() == 0
               ? List.of()
               : List.of(new FlightEndpoint(new Ticket(descriptor.getCommand())));
-      return FlightInfo.builder(SCHEMA, descriptor, endpoints)
+      return FlightInfo.builder(schema, descriptor, endpoints)
           .setRecords(answer.records())
           .setBytes(-1)
           .setAppMetadata(metadata)
@@ -131,17 +154,30 @@
     }
   }
 
-  private static void fill(VectorSchemaRoot root, Row row) {
+  private void fill(VectorSchemaRoot root, Row row) {
     root.clear();
     List<String> fields = List.of(row.id(), row.end(), row.score(), row.report());
     for (int i = 0; i < fields.size(); i++) {
-      ((VarCharVector) root.getVector(i))
-          .setSafe(0, fields.get(i).getBytes(StandardCharsets.UTF_8));
+      set(root, COLUMNS.get(i), fields.get(i).getBytes(StandardCharsets.UTF_8));
     }
-    ((VarCharVector) root.getVector(fields.size())).setSafe(0, row.value());
+    set(root, COLUMNS.get(fields.size()), row.value());
     root.setRowCount(1);
   }
 
+  private void set(VectorSchemaRoot root, String column, byte[] bytes) {
+    FieldVector vector = root.getVector(column);
+    if (vector == null || nullColumns.contains(column)) {
+      return;
+    }
+    if (vector instanceof LargeVarCharVector large) {
+      large.setSafe(0, bytes);
+    } else if (vector instanceof VarBinaryVector binary) {
+      binary.setSafe(0, bytes);
+    } else {
+      ((VarCharVector) vector).setSafe(0, bytes);
+    }
+  }
+
   @Override
   public int port() {
     return server.getPort();
--- a/src/test/java/dunlinhitch/backend/flight/FlightTransportTest.java
+++ b/src/test/java/dunlinhitch/backend/flight/FlightTransportTest.java
@@ -19,10 +19,12 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.apache.arrow.vector.types.pojo.ArrowType;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -212,6 +214,99 @@
     assertEquals(0, store.receivedParts.size() + store.firstPasses.size());
   }
 
+  /** Ways in which a row lacks the text of a column. */
+  enum Form {
+    NULL,
+    NO_COLUMN,
+    BINARY,
+    LARGE_UTF8;
+
+    void apply(FlightStore store, String column) {
+      switch (this) {
+        case NULL -> store.nullColumns = Set.of(column);
+        case NO_COLUMN -> store.removeColumn(column);
+        case BINARY -> store.setColumnType(column, ArrowType.Binary.INSTANCE);
+        case LARGE_UTF8 -> store.setColumnType(column, ArrowType.LargeUtf8.INSTANCE);
+      }
+    }
+  }
+
+  private Event.AttemptCompleted reply(Form form, String column, Behavior behavior)
+      throws Exception {
+    form.apply(store, column);
+    store.script = part -> behavior;
+    BackendTransport transport = open(store.port());
+    onLoop(() -> transport.send(List.of(part(1, 0))));
+    Event event = nextEvent();
+    while (event instanceof Event.ConditionCounted) {
+      event = nextEvent();
+    }
+    assertTrue(event instanceof Event.AttemptCompleted, "unexpected event: " + event);
+    return (Event.AttemptCompleted) event;
+  }
+
+  /**
+   * Guards against an empty answer that no store made: a value, id or outcome that is null, missing
+   * or no text is a malformed reply to an attempt that may have run.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "NULL, value",
+    "NO_COLUMN, value",
+    "BINARY, value",
+    "NULL, id",
+    "NO_COLUMN, id",
+    "BINARY, id",
+    "NULL, end",
+    "NO_COLUMN, end",
+    "BINARY, end"
+  })
+  void replyWithoutRequiredTextIsMalformed(Form form, String column) throws Exception {
+    Event.AttemptCompleted completed = reply(form, column, Behavior.GOOD);
+    assertEquals(AttemptOutcome.RESET, completed.outcome());
+    assertTrue(completed.unconfirmed());
+  }
+
+  /** Both of Arrow's text types are read, in every column. */
+  @ParameterizedTest
+  @ValueSource(strings = {"id", "end", "score", "report", "value"})
+  void largeTextIsRead(String column) throws Exception {
+    Event.AttemptCompleted completed = reply(Form.LARGE_UTF8, column, Behavior.GOOD);
+    assertEquals(AttemptOutcome.OK, completed.outcome());
+    assertEquals("s/0/text", completed.value());
+    assertEquals(1, completed.score());
+    assertEquals(2, completed.report().length);
+  }
+
+  /** Score and load report are optional; a missing one affects nothing else. */
+  @ParameterizedTest
+  @EnumSource(
+      value = Form.class,
+      names = {"NULL", "NO_COLUMN", "BINARY"})
+  void scoreAndReportAreOptional(Form form) throws Exception {
+    Event.AttemptCompleted completed = reply(form, "score", Behavior.GOOD);
+    assertEquals("s/0/text", completed.value());
+    assertTrue(Double.isNaN(completed.score()));
+    store.nullColumns = Set.of();
+    completed = reply(form, "report", Behavior.GOOD);
+    assertEquals("s/0/text", completed.value());
+    assertEquals(0, completed.report().length);
+  }
+
+  /** Only an answer needs a value: a rejection or an error without one keeps its meaning. */
+  @ParameterizedTest
+  @CsvSource({
+    "NULL, LATER, FULL",
+    "NO_COLUMN, LATER, FULL",
+    "NULL, BAD, ERROR",
+    "NO_COLUMN, BAD, ERROR",
+    "BINARY, LATER, RESET"
+  })
+  void rejectionNeedsNoValue(Form form, Behavior behavior, AttemptOutcome outcome)
+      throws Exception {
+    assertEquals(outcome, reply(form, "value", behavior).outcome());
+  }
+
   /** A busy store replies to a liveness check; without a reply the attempts in flight are lost. */
   @Test
   void leavesChannelOnlyIfLivenessCheckIsUnanswered() throws Exception {
