Errors on Flight's threads and in the frame reader end what they were handling

FlightCall, FlightFirstPassCall and FlightActions caught some exceptions only: an error ended the thread, its attempt stayed until its time limit, and a liveness check without a result was the last one for its store. A throw in ReplyReader left the frame decoder in the middle of the stream. Change: attempts end as lost and unconfirmed, a check fails, the connection closes; the fault is reported on the event loop.

--- a/src/main/java/dunlinhitch/backend/flight/FlightActions.java
+++ b/src/main/java/dunlinhitch/backend/flight/FlightActions.java
@@ -68,10 +68,10 @@
    * returns an empty {@code Optional} if the action failed.
    */
   private Optional<String> run(String type, String body, long dueUs) {
-    if (isDisabled.getAsBoolean() && type.equals(HEALTH_CHECK)) {
-      return Optional.empty();
-    }
     try {
+      if (isDisabled.getAsBoolean() && type.equals(HEALTH_CHECK)) {
+        return Optional.empty();
+      }
       Iterator<Result> results =
           client.doAction(
               new Action(type, body.getBytes(StandardCharsets.UTF_8)),
@@ -85,6 +85,9 @@
       return Optional.of(first == null ? "" : first);
     } catch (FlightRuntimeException e) {
       return Optional.empty(); // the store is unreachable or does not implement the action
+    } catch (RuntimeException | Error fault) {
+      shared.reportFault(fault); // without a result no further liveness check would be sent
+      return Optional.empty();
     }
   }
 }
--- a/src/main/java/dunlinhitch/backend/flight/FlightCall.java
+++ b/src/main/java/dunlinhitch/backend/flight/FlightCall.java
@@ -163,6 +163,16 @@
 
   @Override
   public void run() {
+    try {
+      send();
+    } catch (RuntimeException | Error fault) {
+      // nothing else would end the attempts; they may have run
+      shared.onLoop(this::abandon);
+      shared.reportFault(fault);
+    }
+  }
+
+  private void send() {
     long nowUs = shared.nowUs();
     boolean maySend = !cancelled && !mustNotSend.getAsBoolean();
     List<AttemptRequest> sent =
--- a/src/main/java/dunlinhitch/backend/flight/FlightFirstPassCall.java
+++ b/src/main/java/dunlinhitch/backend/flight/FlightFirstPassCall.java
@@ -77,12 +77,12 @@
 
   @Override
   public void run() {
-    long nowUs = shared.nowUs();
-    if (stopped || mustNotSend.getAsBoolean() || !part.maySendAt(nowUs)) {
-      fail();
-      return;
-    }
     try {
+      long nowUs = shared.nowUs();
+      if (stopped || mustNotSend.getAsBoolean() || !part.maySendAt(nowUs)) {
+        fail();
+        return;
+      }
       FlightDescriptor request = FlightDescriptor.command(RequestText.of(List.of(part), nowUs));
       FlightInfo info =
           SendHook.call(
@@ -92,6 +92,10 @@
       handle(info);
     } catch (FlightRuntimeException e) {
       complete(completionOf(e));
+    } catch (RuntimeException | Error fault) {
+      // nothing else would end the attempt; it may have run
+      complete(Event.AttemptCompleted.unconfirmed(part.attempt(), AttemptOutcome.RESET));
+      shared.reportFault(fault);
     }
   }
 
--- a/src/main/java/dunlinhitch/backend/flight/FlightTransports.java
+++ b/src/main/java/dunlinhitch/backend/flight/FlightTransports.java
@@ -3,6 +3,7 @@
 import dunlinhitch.backend.BackendTransport;
 import dunlinhitch.backend.LoadReportParser;
 import dunlinhitch.balancer.settings.Limits;
+import dunlinhitch.concurrent.Faults;
 import dunlinhitch.core.Event;
 import dunlinhitch.endpoints.Endpoint;
 import io.vertx.core.Context;
@@ -146,6 +147,11 @@
     }
   }
 
+  /** Reports an exception that was caught on a reader or action thread. */
+  void reportFault(Throwable fault) {
+    Faults.report(this::onLoop, fault);
+  }
+
   long nowUs() {
     return clock.getAsLong();
   }
--- a/src/main/java/dunlinhitch/backend/frames/ReplyReader.java
+++ b/src/main/java/dunlinhitch/backend/frames/ReplyReader.java
@@ -72,6 +72,10 @@
       awaitFrameEnd();
     } catch (MalformedFrameException e) {
       onMalformed();
+    } catch (RuntimeException | Error fault) {
+      // the frame that was being read is lost, so the next bytes would be misread
+      closeConnection.run();
+      throw fault; // Vert.x reports it
     }
   }
 
--- a/src/test/java/dunlinhitch/backend/flight/FlightTransportTest.java
+++ b/src/test/java/dunlinhitch/backend/flight/FlightTransportTest.java
@@ -47,6 +47,9 @@
    */
   private volatile String blockedThread = "none";
 
+  /** Name of the thread that throws an error when it reads the clock. */
+  private volatile String failingThread = "none";
+
   private volatile CountDownLatch released = new CountDownLatch(0);
   private final FlightTransports stores =
       new FlightTransports(
@@ -66,6 +69,9 @@
         Thread.currentThread().interrupt();
       }
     }
+    if (Thread.currentThread().getName().equals(failingThread)) {
+      throw new AssertionError("test");
+    }
     return systemClock.getAsLong() + advancedUs;
   }
 
@@ -307,6 +313,48 @@
     assertEquals(outcome, reply(form, "value", behavior).outcome());
   }
 
+  /** Guards against an attempt that never ends because its reader thread has ended. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void faultOnReaderThreadEndsTheAttempt(boolean firstPass) throws Exception {
+    BackendTransport transport = open(store.port());
+    failingThread = "flight-reader";
+    onLoop(
+        () ->
+            transport.send(
+                List.of(
+                    new AttemptRequest(
+                        1,
+                        "q.0",
+                        0,
+                        "",
+                        nowUs() + 60_000_000,
+                        Long.MAX_VALUE,
+                        "text",
+                        firstPass,
+                        null))));
+    Event event = nextEvent();
+    while (event instanceof Event.ConditionCounted) {
+      event = nextEvent();
+    }
+    assertEquals(Event.AttemptCompleted.class, event == null ? null : event.getClass());
+    assertTrue(((Event.AttemptCompleted) event).unconfirmed());
+  }
+
+  /** Guards against a store that is never checked again because a check had no result. */
+  @Test
+  void faultOnActionThreadFailsTheHealthCheck() throws Exception {
+    BackendTransport transport = open(store.port());
+    failingThread = "flight-action";
+    onLoop(() -> transport.sendHealthCheck(7));
+    Event event = nextEvent();
+    assertTrue(
+        event instanceof Event.HealthCheckCompleted completed
+            && completed.healthCheck() == 7
+            && completed.outcome() == AttemptOutcome.CONNECT_FAILED,
+        "unexpected event: " + event);
+  }
+
   /** A busy store replies to a liveness check; without a reply the attempts in flight are lost. */
   @Test
   void leavesChannelOnlyIfLivenessCheckIsUnanswered() throws Exception {
--- a/src/test/java/dunlinhitch/backend/frames/FrameConnectionFailureTest.java
+++ b/src/test/java/dunlinhitch/backend/frames/FrameConnectionFailureTest.java
@@ -78,6 +78,26 @@
     assertEquals(AttemptOutcome.RESET, nextCompletion().outcome());
   }
 
+  /**
+   * Guards against replies that are misread because a fault in the handling of an earlier reply
+   * left the decoder in the middle of the stream.
+   */
+  @Test
+  void faultWhileAReplyIsReadClosesTheConnection() throws Exception {
+    onLoop(() -> transport.send(List.of(part(1, 0))));
+    assertEquals(AttemptOutcome.OK, nextCompletion().outcome());
+    store.script = part -> part.shard() == 0 ? Behavior.GOOD : Behavior.NOTHING;
+    reportFault = new AssertionError("test");
+    onLoop(() -> transport.send(List.of(part(2, 0), part(3, 1))));
+    Event.AttemptCompleted lost = nextCompletion();
+    assertEquals(3, lost.attempt());
+    assertEquals(AttemptOutcome.RESET, lost.outcome());
+    reportFault = null;
+    onLoop(() -> transport.send(List.of(part(4, 0))));
+    assertEquals(AttemptOutcome.OK, nextCompletion().outcome());
+    assertEquals(2, store.sockets.size());
+  }
+
   /** Complete frames ahead of a malformed one are handled, even if they were read together. */
   @Test
   void framesAheadOfMalformedFrameAreHandled() throws Exception {
--- a/src/test/java/dunlinhitch/backend/frames/FrameTransportFixture.java
+++ b/src/test/java/dunlinhitch/backend/frames/FrameTransportFixture.java
@@ -5,6 +5,7 @@
 import dunlinhitch.backend.LoadReportParser;
 import dunlinhitch.balancer.ServerState;
 import dunlinhitch.balancer.settings.Limits;
+import dunlinhitch.balancer.settings.LoadReportField;
 import dunlinhitch.core.Effect.AttemptRequest;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.MicroClock;
@@ -13,6 +14,7 @@
 import dunlinhitch.experiments.fakes.FrameStore;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +34,9 @@
   /** How far the test has advanced the clock. */
   final AtomicLong advancedUs = new AtomicLong();
 
+  /** Thrown while a reply is read; null to throw nothing. */
+  volatile Error reportFault;
+
   FrameStore store;
   FrameTransport transport;
   private final MicroClock systemClock = new MicroClock();
@@ -48,6 +53,13 @@
     vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
   }
 
+  private List<LoadReportField> reportFields() {
+    if (reportFault != null) {
+      throw reportFault;
+    }
+    return BrokerFixture.settings(100).reportFields();
+  }
+
   final long nowUs() {
     return systemClock.getAsLong() + advancedUs.get();
   }
@@ -87,7 +99,7 @@
         owner,
         () -> limits,
         () -> maxConnections,
-        new LoadReportParser(() -> BrokerFixture.settings(100).reportFields()),
+        new LoadReportParser(this::reportFields),
         this::nowUs,
         event -> {
           if (event instanceof Event.AttemptCompleted completion) {
