--- a/src/main/java/dunlinhitch/discovery/EndpointListReader.java
+++ b/src/main/java/dunlinhitch/discovery/EndpointListReader.java
@@ -8,6 +8,7 @@
 import dunlinhitch.core.Event;
 import dunlinhitch.endpoints.Endpoint;
 import dunlinhitch.endpoints.Endpoint.Protocol;
+import dunlinhitch.text.ExactText;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -91,6 +92,10 @@
     if (name.isEmpty()) {
       throw new IllegalArgumentException("the endpoint id is empty");
     }
+    if (!ExactText.isUnaltered(name)) {
+      // two such ids could become the same id
+      throw new IllegalArgumentException("the endpoint id is not valid UTF-8: " + name);
+    }
     if (colon < 1 || port < 1 || port > MAX_PORT) {
       throw new IllegalArgumentException("address is not HOST:PORT: " + hostPort);
     }
--- a/src/main/java/dunlinhitch/text/ExactText.java
+++ b/src/main/java/dunlinhitch/text/ExactText.java
@@ -9,6 +9,8 @@
  * byte. Java's own conversions replace what they cannot convert, in silence.
  */
 public final class ExactText {
+  private static final char REPLACEMENT = '\uFFFD';
+
   private ExactText() {}
 
   /**
@@ -30,4 +32,12 @@
   public static boolean isEncodable(String text) {
     return StandardCharsets.UTF_8.newEncoder().canEncode(text);
   }
+
+  /**
+   * Returns whether a text that was decoded leniently is the one that was sent: it has no
+   * replacement character and can be encoded.
+   */
+  public static boolean isUnaltered(String text) {
+    return text.indexOf(REPLACEMENT) < 0 && isEncodable(text);
+  }
 }
