Operators' calls whose handler throws are answered

A malformed escape in host threw, and so did whatever else a handler met: no answer, an end after 5 s. Change: 400 for malformed escapes, 500 for a fault, which Vert.x reports.

--- a/src/main/java/dunlinhitch/admin/AdminServer.java
+++ b/src/main/java/dunlinhitch/admin/AdminServer.java
@@ -15,6 +15,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -135,6 +136,15 @@
   }
 
   private void route(HttpServerRequest request) {
+    try {
+      dispatch(request);
+    } catch (RuntimeException | Error fault) {
+      respondError(request, 500, "the call failed");
+      throw fault; // Vert.x reports it
+    }
+  }
+
+  private void dispatch(HttpServerRequest request) {
     switch (request.path() == null ? "" : request.path()) {
       case "/ready" -> onReadiness(request);
       case "/metrics" -> onMetrics(request);
@@ -165,8 +175,12 @@
     if (!requireMethod(request, HttpMethod.POST)) {
       return;
     }
-    String endpointId = request.getParam("host");
-    if (endpointId == null || endpointId.isEmpty()) {
+    String endpointId = endpointId(request);
+    if (endpointId == null) {
+      respondError(request, 400, "host is not escaped as in a URL");
+      return;
+    }
+    if (endpointId.isEmpty()) {
       respondError(request, 400, "host is missing");
       return;
     }
@@ -175,6 +189,15 @@
     events.accept(new Event.EndpointDisableRequested(lastCallNumber, endpointId, disable));
   }
 
+  /** Returns the id of the endpoint; empty if it is missing, null if its escapes are malformed. */
+  private static String endpointId(HttpServerRequest request) {
+    try {
+      return Objects.requireNonNullElse(request.getParam("host"), "");
+    } catch (IllegalArgumentException e) {
+      return null;
+    }
+  }
+
   /** Returns whether the request has this method, and responds with an error if not. */
   private boolean requireMethod(HttpServerRequest request, HttpMethod method) {
     if (method.equals(request.method())) {
--- a/src/test/java/dunlinhitch/server/AdminTest.java
+++ b/src/test/java/dunlinhitch/server/AdminTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dunlinhitch.admin.AdminServer;
 import dunlinhitch.admin.DisabledEndpointFolder;
 import dunlinhitch.experiments.fakes.BrokerFixture;
 import dunlinhitch.experiments.fakes.Client;
@@ -20,15 +21,21 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Requests of operators to the admin server, over loopback. */
 class AdminTest {
+  /** Longer than an unanswered connection stays open. */
+  private static final int ANSWER_TIMEOUT_MS = 8_000;
+
   private final BrokerFixture fixture;
   @TempDir private Path dir;
 
@@ -44,6 +51,7 @@
   /** Sends one request on a separate connection and returns the complete response. */
   private String call(String line) throws IOException {
     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), fixture.adminPort)) {
+      socket.setSoTimeout(ANSWER_TIMEOUT_MS);
       socket
           .getOutputStream()
           .write((line + " HTTP/1.1\r\nHost: ops\r\n\r\n").getBytes(StandardCharsets.UTF_8));
@@ -117,6 +125,42 @@
     }
   }
 
+  /** Guards against a call that is never answered because its escapes cannot be decoded. */
+  @Test
+  void malformedEscapesAreRejected() throws Exception {
+    fixture.discovery.setList();
+    fixture.start(BrokerFixture.settings(100), null);
+    for (String id : List.of("%zz", "%", "%f")) {
+      disable(id, true, 400);
+    }
+    disable("%ff", true, 404);
+  }
+
+  /** Guards against a call that is never answered because its handler throws. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void callWhoseHandlerThrowsFails(boolean error) throws Exception {
+    List<Throwable> faults = new CopyOnWriteArrayList<>();
+    fixture.vertx.exceptionHandler(faults::add);
+    AdminServer server =
+        new AdminServer(
+            fixture.vertx,
+            () -> {
+              if (error) {
+                throw new AssertionError("test");
+              }
+              throw new IllegalStateException("test");
+            },
+            () -> null,
+            event -> {},
+            () -> 0);
+    CompletableFuture<Integer> port = new CompletableFuture<>();
+    fixture.vertx.runOnContext(ignored -> server.listen("127.0.0.1", 0).onSuccess(port::complete));
+    fixture.adminPort = port.get(5, TimeUnit.SECONDS);
+    assertEquals(500, status(call("GET /ready")));
+    assertEquals(1, faults.size());
+  }
+
   /**
    * For both backend protocols: an endpoint is disabled as soon as the request is answered, even if
    * a new endpoint list contains it; disabling is idempotent; the endpoint is used again soon after
