--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -57,7 +57,9 @@
   private final PrintWriter record;
   private final List<Process> processes = new ArrayList<>();
   private final AtomicInteger ids = new AtomicInteger();
-  final int listen = freePort();
+  /** Where clients connect: the port of the socket that is descriptor 0, or a free one. */
+  final int listen =
+      System.getenv("CASE_PORT") == null ? freePort() : Integer.parseInt(System.getenv("CASE_PORT"));
   final int admin = freePort();
 
   Rig(Path caseFolder) throws IOException {
@@ -97,7 +99,7 @@
     }
   }
 
-  private static int freePort() {
+  static int freePort() {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
       return socket.getLocalPort();
     } catch (IOException e) {
@@ -162,22 +164,46 @@
       Files.writeString(file, own);
       command += " --conf " + file;
     }
+    return launch(command, config, admin, discoveryPort, false);
+  }
+
+  /**
+   * Starts a process of a broker whose clients' socket is held by the platform: it is descriptor 0.
+   * All processes that are started so share their folder.
+   */
+  Process startOnSharedSocket(String settings, int discoveryPort, int adminPort) throws Exception {
+    Path config = folder.resolve("config.json");
+    Files.writeString(
+        config,
+        "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + listen + "\",\"admin_addr\":\"127.0.0.1:" + adminPort
+            + "\",\"discovery\":\"127.0.0.1:" + discoveryPort
+            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+            + "\"settings\":" + settings + "}");
+    return launch(runCommand(), config, adminPort, discoveryPort, true);
+  }
+
+  private Process launch(String command, Path config, int adminPort, int discoveryPort, boolean shared)
+      throws Exception {
     ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
+    if (shared) {
+      builder.redirectInput(ProcessBuilder.Redirect.INHERIT);
+      builder.environment().put("ROUTER_ACCEPT_FD", "0");
+    }
     builder.directory(root.toFile());
     builder.environment().put("ROUTER_CONFIG", config.toString());
     builder.environment().put("ROUTER_NAME", "n0");
     builder.environment().put("ROUTER_LISTEN", "127.0.0.1:" + listen);
-    builder.environment().put("ROUTER_ADMIN_ADDR", "127.0.0.1:" + admin);
+    builder.environment().put("ROUTER_ADMIN_ADDR", "127.0.0.1:" + adminPort);
     builder.environment().put("ROUTER_DISCOVERY", "127.0.0.1:" + discoveryPort);
     builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
     builder.redirectErrorStream(true);
-    builder.redirectOutput(folder.resolve("broker.log").toFile());
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("broker.log").toFile()));
     Process process = builder.start();
     processes.add(process);
     long untilMs = nowMs() + 30_000;
     while (nowMs() < untilMs && process.isAlive()) {
-      if (get("/health/ready").status() == 200) {
-        note("the broker is ready");
+      if (shared ? get(adminPort, "/ready").status() == 200 : get(listen, "/health/ready").status() == 200) {
+        note("the broker is ready" + (shared ? ", operators' port " + adminPort : ""));
         return process;
       }
       Thread.sleep(50);
@@ -194,8 +220,8 @@
     return "q" + Integer.toHexString(0x5000000 + ids.incrementAndGet());
   }
 
-  private Answer get(String path) {
-    try (Client client = new Client(listen)) {
+  private static Answer get(int port, String path) {
+    try (Client client = new Client(port)) {
       return client.exchange("GET " + path + " HTTP/1.1\r\nHost: app.svc\r\n\r\n", 2000);
     } catch (IOException e) {
       return new Answer(0, "");
