--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -31,6 +31,9 @@
   static final int BROKEN = 11;
   static final int NOT_RUN = 12;
 
+  /** The descriptors that a process of the broker may hold, in its configuration too. */
+  static final int SOCKETS = 1024;
+
   static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
   /** An answer of the broker; status 0 if the connection ended without a whole answer. */
@@ -156,7 +159,7 @@
         config,
         "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + listen + "\",\"admin_addr\":\"127.0.0.1:" + admin
             + "\",\"discovery\":\"127.0.0.1:" + discoveryPort
-            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + SOCKETS + "},"
             + "\"settings\":" + settings + "}");
     String command = runCommand();
     if (own != null) {
@@ -177,14 +180,15 @@
         config,
         "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + listen + "\",\"admin_addr\":\"127.0.0.1:" + adminPort
             + "\",\"discovery\":\"127.0.0.1:" + discoveryPort
-            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + SOCKETS + "},"
             + "\"settings\":" + settings + "}");
     return launch(runCommand(), config, adminPort, discoveryPort, true);
   }
 
   private Process launch(String command, Path config, int adminPort, int discoveryPort, boolean shared)
       throws Exception {
-    ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
+    // the platform holds a process to `limits.sockets` descriptors
+    ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + SOCKETS + "; " + command);
     if (shared) {
       builder.redirectInput(ProcessBuilder.Redirect.INHERIT);
       builder.environment().put("ROUTER_ACCEPT_FD", "0");
