A reply whose frame states a wrong length is a failed attempt, not a served value

Cause: ReplyReader reported a reply as soon as its stated length was there.

Change: the last reply of a connection is held (UnverifiedReply) until a header follows it, the store ends its stream, or 10 ms pass without another byte. Anything else behind it makes the attempt one that may have run. Text cannot pass for a header: the top byte of a length in range is zero, and a type is printable (FrameHeader). A payload that ends with whole frames is malformed. It holds for both kinds of reply and for the replies to health checks.

--- a/src/main/java/dunlinhitch/backend/frames/ConnectionEnd.java
+++ b/src/main/java/dunlinhitch/backend/frames/ConnectionEnd.java
@@ -24,6 +24,7 @@
   private static final long STORE_END_TIMEOUT_MS = 1_000;
 
   private boolean closedLocally;
+  private boolean failed;
   private boolean failedWithoutProof;
 
   /** Closes the connection immediately; pending writes are dropped. */
@@ -43,6 +44,7 @@
 
   /** Records a failure that closes the connection. */
   void onFailure(Throwable failure) {
+    failed = true;
     failedWithoutProof |= !provesEndAtStore(failure);
   }
 
@@ -67,6 +69,14 @@
     return !closedLocally && !failedWithoutProof;
   }
 
+  /**
+   * Returns whether the store has sent its end of stream, so that nothing can follow what was
+   * received. Must be called only after the connection has closed.
+   */
+  boolean isInOrder() {
+    return !closedLocally && !failed;
+  }
+
   /** The JDK has no exception type for a reset, so it is recognised by its message. */
   private static boolean provesEndAtStore(Throwable failure) {
     String message = String.valueOf(failure.getMessage()).toLowerCase(Locale.ROOT);
--- a/src/main/java/dunlinhitch/backend/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/backend/frames/FrameConnection.java
@@ -47,7 +47,7 @@
   private final ConnectionEnd end = new ConnectionEnd();
   private final ReplyReader replyReader;
   private final LivenessCheck livenessCheck;
-  private final BooleanSupplier mayCheck;
+  private final CancellationConfirmation confirmation;
 
   /** Null until the connection is established. */
   private NetSocket socket;
@@ -57,12 +57,6 @@
 
   private boolean closed;
 
-  /**
-   * True while a task is scheduled that requests one confirmation for all cancellations of this
-   * iteration of the event loop.
-   */
-  private boolean confirmationScheduled;
-
   /** True once the connection accepts no new calls and closes as soon as it is idle. */
   private boolean draining;
 
@@ -92,10 +86,23 @@
     this.shared = shared;
     this.onClosed = onClosed;
     this.onDescriptorReleased = onDescriptorReleased;
-    this.mayCheck = mayCheck;
     unconfirmed = new UnconfirmedAttempts(this::release);
     replyReader =
-        new ReplyReader(shared, inFlight, healthChecks, unconfirmed, () -> closed, this::close);
+        new ReplyReader(
+            shared,
+            inFlight,
+            healthChecks,
+            unconfirmed,
+            () -> closed,
+            this::close,
+            this::closeIfDrained);
+    confirmation =
+        new CancellationConfirmation(
+            shared.vertx,
+            () -> !closed && unconfirmed.needsCheck(),
+            mayCheck,
+            this::sendLivenessCheck,
+            this::drain);
     livenessCheck = new LivenessCheck(shared, mayCheck, new LivenessTarget());
     lastUsedUs = nowUs();
     lastReceivedUs = lastUsedUs;
@@ -154,7 +161,10 @@
   }
 
   boolean isIdle() {
-    return inFlight.isEmpty() && pendingCalls.isEmpty() && healthChecks.isEmpty();
+    return inFlight.isEmpty()
+        && pendingCalls.isEmpty()
+        && healthChecks.isEmpty()
+        && !replyReader.hasUnverifiedReply();
   }
 
   /** True while a call is not completely passed to the kernel. */
@@ -277,10 +287,11 @@
    * @return false if the attempt is not on this connection
    */
   boolean cancel(long attempt, boolean confirm) {
-    if (removePending(attempt)) {
+    if (removePending(attempt) || replyReader.withdraw(attempt)) {
       if (confirm) {
         release(attempt);
       }
+      closeIfDrained();
       return true;
     }
     InFlightAttempt cancelled = inFlight.find(attempt);
@@ -301,7 +312,7 @@
     socket.write(Frame.encode(FrameType.CANCEL, cancelled.partId())).onFailure(end::onWriteFailure);
     if (confirm) {
       unconfirmed.add(cancelled.partId(), attempt);
-      requestConfirmation();
+      confirmation.request();
     }
     // A connection to a dead host stays open, so new calls use a new connection. If the host is
     // dead, connecting soon fails, and the calls have provably not run.
@@ -313,31 +324,6 @@
     return true;
   }
 
-  /**
-   * Makes the store confirm that it has read the cancellations. One liveness check is sent after
-   * all cancellations of this iteration of the event loop, and the store confirms them by its reply
-   * to the check. If liveness checks are not allowed, the connection is drained instead; the store
-   * then confirms the cancellations by closing the connection.
-   */
-  private void requestConfirmation() {
-    if (!confirmationScheduled) {
-      confirmationScheduled = true;
-      shared.vertx.runOnContext(ignored -> confirm());
-    }
-  }
-
-  private void confirm() {
-    confirmationScheduled = false;
-    if (closed || !unconfirmed.needsCheck()) {
-      return;
-    }
-    if (mayCheck.getAsBoolean()) {
-      sendLivenessCheck();
-    } else {
-      drain();
-    }
-  }
-
   private void sendLivenessCheck() {
     unconfirmed.onCheckSent();
     socket.write(Frame.encode(FrameType.LIVENESS_CHECK, "")).onFailure(end::onWriteFailure);
@@ -401,6 +387,7 @@
   }
 
   private void onSocketClosed() {
+    replyReader.onClosed(end.isInOrder());
     reportClosed(end.isKnownToStore());
     if (end.isKnownToStore()) {
       unconfirmed.onConnectionEndedByStore();
@@ -419,6 +406,7 @@
     }
     closed = true;
     onClosed.accept(this);
+    replyReader.onClosed(false);
     failPending();
     inFlight.drain().forEach(lost -> completeLost(lost, knownToStore));
     AttemptOutcome outcome = socket == null ? AttemptOutcome.CONNECT_FAILED : AttemptOutcome.RESET;
--- a/src/main/java/dunlinhitch/backend/frames/FrameDecoder.java
+++ b/src/main/java/dunlinhitch/backend/frames/FrameDecoder.java
@@ -9,6 +9,12 @@
 final class FrameDecoder {
   /** Receives each frame as soon as it is complete. */
   interface Handler {
+    /**
+     * Called when the header of a frame was received. The bytes ahead of it were complete frames:
+     * had the length of the last one been wrong, a header would not stand here.
+     */
+    default void onHeader() {}
+
     /** Handles one frame; throws if the frame makes the connection unusable. */
     void handle(Frame frame) throws MalformedFrameException;
   }
@@ -24,10 +30,10 @@
     Buffer all = incomplete.length() == 0 ? bytes : incomplete.appendBuffer(bytes);
     int consumed = 0;
     while (all.length() - consumed >= Frame.LENGTH_BYTES) {
-      long length = all.getUnsignedIntLE(consumed);
-      if (length < 1 || length > Frame.MAX_BYTES) {
-        throw new MalformedFrameException(
-            "frame length out of range: " + length + " bytes, expected 1 to " + Frame.MAX_BYTES);
+      long length = FrameHeader.readLength(all, consumed);
+      if (all.length() - consumed >= FrameHeader.BYTES) {
+        FrameHeader.checkType(all, consumed);
+        handler.onHeader();
       }
       if (all.length() - consumed - Frame.LENGTH_BYTES < length) {
         break;
--- a/src/main/java/dunlinhitch/backend/frames/ReplyReader.java
+++ b/src/main/java/dunlinhitch/backend/frames/ReplyReader.java
@@ -12,7 +12,7 @@
 /**
  * Converts the bytes received on one connection into events. A malformed frame, or one that stays
  * incomplete for too long, makes the connection unusable; complete frames ahead of it are still
- * handled.
+ * handled. The last reply is held back until it is known to be whole, see {@link UnverifiedReply}.
  *
  * <p>Not thread-safe; owned by its connection and used on the event loop only.
  */
@@ -20,6 +20,9 @@
   /** Timeout of an incomplete frame, which delays all frames behind it. */
   private static final long FRAME_TIMEOUT_US = 400_000;
 
+  /** Half of the time without further bytes after which a reply is taken as whole. */
+  private static final long HALF_QUIET_US = 5_000;
+
   /** The payload of a health check reply from a store that considers itself unhealthy. */
   private static final String UNHEALTHY = "bad";
 
@@ -31,6 +34,8 @@
   private final UnconfirmedAttempts unconfirmed;
   private final BooleanSupplier isClosed;
   private final Runnable closeConnection;
+  private final Runnable onVerified;
+  private final UnverifiedReply lastReply;
   private final FrameDecoder decoder = new FrameDecoder();
 
   /** The time at which the bytes that are being read were received, in microseconds. */
@@ -44,19 +49,50 @@
   /** The value of {@link #completeFrames} when the timeout was last started. */
   private long timeoutStartedAt = -1;
 
+  /**
+   * Creates a reader for a connection from which nothing was received yet.
+   *
+   * @param onVerified called when a reply that was held back has been accepted after a quiet time
+   */
   ReplyReader(
       FrameTransport.Shared shared,
       InFlightAttempts inFlight,
       PendingHealthChecks healthChecks,
       UnconfirmedAttempts unconfirmed,
       BooleanSupplier isClosed,
-      Runnable closeConnection) {
+      Runnable closeConnection,
+      Runnable onVerified) {
     this.shared = shared;
     this.inFlight = inFlight;
     this.healthChecks = healthChecks;
     this.unconfirmed = unconfirmed;
     this.isClosed = isClosed;
     this.closeConnection = closeConnection;
+    this.onVerified = onVerified;
+    lastReply = new UnverifiedReply(shared.events);
+  }
+
+  /** True while a reply was received that is not known to be whole. */
+  boolean hasUnverifiedReply() {
+    return !lastReply.isEmpty();
+  }
+
+  /**
+   * Drops a reply that is held back, because its attempt was cancelled.
+   *
+   * @return false if no reply to this attempt is held back
+   */
+  boolean withdraw(long attempt) {
+    return lastReply.withdraw(attempt);
+  }
+
+  /** Handles the end of the connection: accepts the reply that is held back, or rejects it. */
+  void onClosed(boolean endedInOrder) {
+    if (endedInOrder && !decoder.hasIncompleteFrame()) {
+      lastReply.verify();
+    } else {
+      lastReply.reject();
+    }
   }
 
   /** Reads bytes that were received at {@code nowUs}, in microseconds. */
@@ -65,11 +101,20 @@
     try {
       decoder.read(
           bytes,
-          frame -> {
-            completeFrames++;
-            handle(frame);
+          new FrameDecoder.Handler() {
+            @Override
+            public void onHeader() {
+              lastReply.verify();
+            }
+
+            @Override
+            public void handle(Frame frame) throws MalformedFrameException {
+              completeFrames++;
+              ReplyReader.this.handle(frame);
+            }
           });
       awaitFrameEnd();
+      awaitQuiet();
     } catch (MalformedFrameException e) {
       onMalformed();
     } catch (RuntimeException | Error fault) {
@@ -108,7 +153,39 @@
         });
   }
 
+  /**
+   * Accepts the reply that is held back if nothing else is received for a while. There are two
+   * timers: if the event loop was busy when the first one was due, it reads what has arrived in the
+   * meantime before the second one is due.
+   */
+  private void awaitQuiet() {
+    if (lastReply.isEmpty()) {
+      return;
+    }
+    long reply = lastReply.number();
+    afterHalfQuietTime(reply, () -> afterHalfQuietTime(reply, this::onQuiet));
+  }
+
+  private void afterHalfQuietTime(long reply, Runnable task) {
+    shared.vertx.setTimer(
+        MicroClock.timerMs(0, HALF_QUIET_US),
+        timer -> {
+          boolean current = hasUnverifiedReply() && lastReply.number() == reply;
+          if (current && !decoder.hasIncompleteFrame()) {
+            task.run();
+          }
+        });
+  }
+
+  private void onQuiet() {
+    lastReply.verify();
+    onVerified.run();
+  }
+
   private void handle(Frame frame) throws MalformedFrameException {
+    if (FrameHeader.endsWithFrame(frame.payload())) {
+      throw new MalformedFrameException("a frame contains another one, so its length is too great");
+    }
     switch (frame.type()) {
       case FrameType.PART_REPLY -> onPartReply(ReplyParser.partReply(frame.payload()));
       case FrameType.FIRST_PASS_REPLY ->
@@ -127,7 +204,8 @@
     if (ended == null) {
       return;
     }
-    shared.events.accept(
+    hold(
+        ended,
         new Event.AttemptCompleted(
             ended.attempt(),
             reply.outcome(),
@@ -136,13 +214,23 @@
             reply.score()));
   }
 
+  /** Holds back the reply to an attempt; if it is not whole, the attempt may have run. */
+  private void hold(InFlightAttempt ended, Event whole) {
+    lastReply.hold(
+        new UnverifiedReply.Held(
+            OptionalLong.of(ended.attempt()),
+            whole,
+            Event.AttemptCompleted.of(ended.attempt(), AttemptOutcome.RESET)));
+  }
+
   private void onFirstPassReply(ReplyParser.FirstPassReply reply) throws MalformedFrameException {
     InFlightAttempt ended = endAttempt(reply.partId(), true);
     if (ended == null) {
       return;
     }
     float[] report = shared.reports.parse(reply.report());
-    shared.events.accept(
+    hold(
+        ended,
         reply.outcome() != AttemptOutcome.OK
             ? new Event.AttemptCompleted(ended.attempt(), reply.outcome(), report, "")
             : new Event.FirstPassCompleted(
@@ -171,10 +259,14 @@
       return;
     }
     boolean unhealthy = report.equals(UNHEALTHY);
-    shared.events.accept(
-        new Event.HealthCheckCompleted(
-            healthCheck.getAsLong(),
-            unhealthy ? AttemptOutcome.ERROR : AttemptOutcome.OK,
-            unhealthy ? NO_REPORT : shared.reports.parse(report)));
+    lastReply.hold(
+        new UnverifiedReply.Held(
+            OptionalLong.empty(),
+            new Event.HealthCheckCompleted(
+                healthCheck.getAsLong(),
+                unhealthy ? AttemptOutcome.ERROR : AttemptOutcome.OK,
+                unhealthy ? NO_REPORT : shared.reports.parse(report)),
+            new Event.HealthCheckCompleted(
+                healthCheck.getAsLong(), AttemptOutcome.RESET, NO_REPORT)));
   }
 }
