A Flight batch whose offsets do not cover its data is malformed

Callers would have seen a value, a part id or an outcome cut at its start or end, as whole.

Cause: ReplyRow read each cell by its offsets alone; Arrow checks only that they lie within the buffer.

Change: TextColumn compares, for each text column of a batch, the number of its cells with that of the rows, and its offsets with the data: the first is zero, none decreases, and only zero padding follows the last.

Not seen on the wire: a Java server cuts a column's data to its last offset, so the batches are built from buffers.

--- a/src/main/java/dunlinhitch/backend/flight/ReplyRow.java
+++ b/src/main/java/dunlinhitch/backend/flight/ReplyRow.java
@@ -20,8 +20,17 @@
 record ReplyRow(String partId, AttemptOutcome outcome, double score, String report, String value) {
   private static final ReplyRow MALFORMED = new ReplyRow("", null, Double.NaN, "", "");
 
-  /** Parses all rows of a batch; each malformed row is included as such. */
+  /**
+   * Parses all rows of a batch; each malformed row is included as such. If the lengths of a column
+   * do not match, no cell of the batch can be trusted, and the result is one malformed row.
+   */
   static List<ReplyRow> readAll(VectorSchemaRoot batch) {
+    boolean exact =
+        batch.getFieldVectors().stream()
+            .allMatch(column -> TextColumn.isExact(column, batch.getRowCount()));
+    if (!exact) {
+      return List.of(MALFORMED);
+    }
     return IntStream.range(0, batch.getRowCount()).mapToObj(row -> read(batch, row)).toList();
   }
 
