The processes of one broker claim each query id in a table that they share

Cause: QueryStage.isRepeat asks InFlightRegistry and ExecutedQueries, which live in one process. Two processes accept from one socket and count as one broker, and nothing told one which ids the other had read.

Change: SharedQueryIds, a hash table of 1 MiB in a file below $TMPDIR that each process maps. QueryIdClaims claims the id when the query is read, before the reducer sees it, by atomic memory operations: no system call and no wait, so a process that stands still or is killed blocks nobody, and one that starts third finds all claims. Two claims that cross each look for the other after their write, so never both succeed. A claim lasts to 30 s after the deadline; the reducer releases the id (ReleaseQueryId) where no store can have executed it. Ids are claimed from the start of a process on, whether or not there is another one. If the file cannot be used, that is logged, and each process knows its own ids as before.

--- a/src/main/java/dunlinhitch/core/Effect.java
+++ b/src/main/java/dunlinhitch/core/Effect.java
@@ -105,6 +105,12 @@
    */
   record EndpointChanged(int number, Endpoint endpoint, boolean disabled) implements Effect {}
 
+  /**
+   * Release the id of a query that no endpoint can have executed, so that other processes of this
+   * broker may execute it.
+   */
+  record ReleaseQueryId(String id) implements Effect {}
+
   /** Send the one final response of an exchange. */
   record SendResponse(long exchange, QueryResponse response) implements Effect {}
 
--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -41,8 +41,20 @@
    *
    * @param exchange the frontend's number for the exchange; unique within the process
    * @param request the request
+   * @param claimed false if the id of the query is claimed already, by this or another process of
+   *     this broker
    */
-  record QueryReceived(long exchange, QueryRequest request) implements QueryEvent {}
+  record QueryReceived(long exchange, QueryRequest request, boolean claimed) implements QueryEvent {
+    /** Creates the event of a query whose id no other process has claimed. */
+    public QueryReceived(long exchange, QueryRequest request) {
+      this(exchange, request, true);
+    }
+
+    /** Returns this event with the result of the claim. */
+    public QueryReceived withClaim(boolean claimSucceeded) {
+      return new QueryReceived(exchange, request, claimSucceeded);
+    }
+  }
 
   /** The client of the exchange has disconnected. */
   record ClientDisconnected(long exchange) implements QueryEvent {}
--- a/src/main/java/dunlinhitch/core/ExecutedQueries.java
+++ b/src/main/java/dunlinhitch/core/ExecutedQueries.java
@@ -11,9 +11,9 @@
  * <p>Bounded in time and in number; the oldest ids are forgotten first. Owned by the reducer; not
  * thread-safe.
  */
-final class ExecutedQueries {
+public final class ExecutedQueries {
   /** Time for which an id is remembered after its query has ended, in microseconds. */
-  static final long RETENTION_US = 30_000_000;
+  public static final long RETENTION_US = 30_000_000;
 
   /** Maximum number of remembered ids. */
   static final int MAX_IDS = 16_384;
--- a/src/main/java/dunlinhitch/core/QueryCompletion.java
+++ b/src/main/java/dunlinhitch/core/QueryCompletion.java
@@ -64,6 +64,8 @@
   void close(InFlightQuery query) {
     if (query.mayHaveExecuted()) {
       registry.executedQueries.add(query.request.id(), context.nowUs());
+    } else {
+      context.emit(new Effect.ReleaseQueryId(query.request.id()));
     }
     registry.remove(query);
     closeListener.accept(query);
--- a/src/main/java/dunlinhitch/core/QueryStage.java
+++ b/src/main/java/dunlinhitch/core/QueryStage.java
@@ -62,7 +62,7 @@
     int tenant = context.tenantIndex(request.tenant());
     boolean unknownTenant = !settings.tenants().isEmpty() && tenant < 0;
     counters.add(Counter.TENANTS_UNKNOWN, unknownTenant ? 1 : 0);
-    if (isRepeat(request)) {
+    if (!event.claimed() || isRepeat(request)) {
       counters.add(Counter.QUERIES_REPEATED);
       counters.add(Counter.QUERIES_NOT_ADMITTED);
       completion.emit(event.exchange(), request, responseToRepeat(request));
@@ -70,6 +70,7 @@
     }
     if (queryClass < 0 || !isAdmissible(event.request(), request)) {
       counters.add(Counter.QUERIES_NOT_ADMITTED);
+      context.emit(new Effect.ReleaseQueryId(request.id()));
       completion.emit(event.exchange(), request, rejection());
       return;
     }
--- a/src/main/java/dunlinhitch/server/Broker.java
+++ b/src/main/java/dunlinhitch/server/Broker.java
@@ -12,6 +12,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.nio.file.Path;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -27,6 +28,9 @@
    */
   private static final long UNDETECTED_OVERLAP_US = 6_000_000;
 
+  /** Folder of the claimed query ids, below the folder that processes of a broker share. */
+  private static final String QUERY_IDS_FOLDER = "query-ids";
+
   /** Folder of the processes' locks, below the folder that processes of a broker share. */
   private static final String LOCK_FOLDER = "processes";
 
@@ -40,6 +44,7 @@
   private final Promise<Void> ended = Promise.promise();
   private final Reducer reducer;
   private final ReducerLoop loop;
+  private final QueryIdClaims queryIdClaims;
   private final Frontends frontends;
   private final AdminInterface admin;
   private final BackendTransportFactory transportFactory;
@@ -92,7 +97,9 @@
         new ReducerLoop(
             vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::reportFault);
     DescriptorBudget budget = new DescriptorBudget(config.sockets(), shared);
-    frontends = new Frontends(runtime, reducer, budget, listener, this::isReady, loop);
+    queryIdClaims =
+        new QueryIdClaims(vertx, sharedFolder(QUERY_IDS_FOLDER), clock, loop, runtime.log());
+    frontends = new Frontends(runtime, reducer, budget, listener, this::isReady, queryIdClaims);
     admin = new AdminInterface(runtime, reducer, this::isReady, loop);
     transportFactory = new BackendTransportFactory(runtime, reducer, budget, loop);
     backends = new Backends(transportFactory::open, loop);
@@ -102,18 +109,24 @@
     overlapMonitor =
         config.sharedFolder() == null
             ? null
-            : new OverlapMonitor(
-                vertx, config.sharedFolder().resolve(LOCK_FOLDER), clock, loop, runtime.log());
+            : new OverlapMonitor(vertx, sharedFolder(LOCK_FOLDER), clock, loop, runtime.log());
     loop.setEffectHandler(effectDispatcher());
     loop.accept(
         new Event.DiscoveryConfigured(config.discovery().host(), config.discovery().port()));
   }
 
+  /** Returns a folder that the processes of this broker share, or null if they share none. */
+  private Path sharedFolder(String name) {
+    Path folder = runtime.config().sharedFolder();
+    return folder == null ? null : folder.resolve(name);
+  }
+
   private EffectDispatcher effectDispatcher() {
     EffectDispatcher dispatcher =
         new EffectDispatcher()
             .on(Effect.SendRequest.class, backends::send)
             .on(Effect.SendResponse.class, frontends::send)
+            .on(Effect.ReleaseQueryId.class, queryIdClaims::release)
             .on(Effect.CancelAttempt.class, backends::cancel)
             .on(Effect.WithdrawAttempt.class, backends::withdraw)
             .on(Effect.SendHealthCheck.class, backends::sendHealthCheck)
@@ -172,7 +185,9 @@
       return Future.failedFuture(STOPPED_BEFORE_LISTENING);
     }
     opened = true;
-    return watchForOverlap(hasPredecessor).compose(v -> frontends.listen());
+    return watchForOverlap(hasPredecessor)
+        .compose(v -> queryIdClaims.start())
+        .compose(v -> frontends.listen());
   }
 
   /**
--- a/src/test/java/dunlinhitch/core/QueryStageTest.java
+++ b/src/test/java/dunlinhitch/core/QueryStageTest.java
@@ -86,6 +86,30 @@
     assertEquals(1, attemptsIn(effects).size());
   }
 
+  /** Guards against an id that another process of this broker has claimed and is executed here. */
+  @Test
+  void anIdThatIsClaimedElsewhereIsRefused() {
+    listBothEndpoints();
+    turn(((Event.QueryReceived) queryReceived(1, 0, 1)).withClaim(false));
+    assertEquals(0, attemptsIn(effects).size());
+    assertTrue(responseTo(1) instanceof QueryResponse.Rejected);
+    assertEquals(List.of(), effectsOf(Effect.ReleaseQueryId.class));
+  }
+
+  /** Guards against an id that is refused everywhere although no store can have executed it. */
+  @Test
+  void onlyTheIdOfWhichNothingWasExecutedIsReleased() {
+    turn(queryReceived(1, 0, 1));
+    turn(new Event.ClientDisconnected(1));
+    turn(queryReceived(2, 0, 400)); // above the limit of parts in flight
+    listBothEndpoints();
+    turn(queryReceived(3, 0, 1));
+    turn(new Event.ClientDisconnected(3));
+    assertEquals(
+        List.of(new Effect.ReleaseQueryId("q1"), new Effect.ReleaseQueryId("q2")),
+        effectsOf(Effect.ReleaseQueryId.class));
+  }
+
   private static Event withId(String id, Event event) {
     Event.QueryReceived received = (Event.QueryReceived) event;
     QueryRequest request = received.request();
--- a/src/test/java/dunlinhitch/server/HotRestartTest.java
+++ b/src/test/java/dunlinhitch/server/HotRestartTest.java
@@ -7,6 +7,8 @@
 import dunlinhitch.experiments.fakes.BrokerFixture;
 import dunlinhitch.experiments.fakes.Client;
 import dunlinhitch.experiments.fakes.FrameStore;
+import dunlinhitch.experiments.fakes.Store.Behavior;
+import dunlinhitch.experiments.fakes.Store.ReceivedPart;
 import dunlinhitch.frontend.http.ClientListener;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -14,16 +16,33 @@
 import java.net.Socket;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Hot restart: two processes of one broker on one listening socket, the old one shutting down. */
 class HotRestartTest {
-  private static BrokerFixture fixture(ServerSocketChannel listener) throws Exception {
+  /** The folder that the processes share. */
+  @TempDir Path folder;
+
+  private BrokerFixture fixture(ServerSocketChannel listener) throws Exception {
+    return fixture(listener, part -> Behavior.GOOD);
+  }
+
+  private BrokerFixture fixture(
+      ServerSocketChannel listener, Function<ReceivedPart, Behavior> script) throws Exception {
     BrokerFixture fixture = new BrokerFixture(new ClientListener(listener));
-    fixture.publishStores(new FrameStore(fixture.vertx, "a"), new FrameStore(fixture.vertx, "b"));
+    fixture.scratchDirectory = folder;
+    FrameStore first = new FrameStore(fixture.vertx, "a");
+    FrameStore second = new FrameStore(fixture.vertx, "b");
+    first.script = script;
+    second.script = script;
+    fixture.publishStores(first, second);
     fixture.start(BrokerFixture.settings(100), null);
     return fixture;
   }
@@ -89,6 +108,64 @@
     }
   }
 
+  /** Guards against a second run of an open query, by the other process of a hot restart. */
+  @Test
+  void anIdThatIsOpenInOneProcessIsNotExecutedByTheOther() throws Exception {
+    try (ServerSocketChannel listener = ServerSocketChannel.open()) {
+      listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      CountDownLatch received = new CountDownLatch(1);
+      BrokerFixture old =
+          fixture(
+              listener,
+              part -> {
+                received.countDown();
+                return Behavior.NOTHING;
+              });
+      try (Socket client = new Socket(InetAddress.getLoopbackAddress(), old.httpPort)) {
+        ask(client, "q0");
+        assertTrue(received.await(5, TimeUnit.SECONDS));
+        BrokerFixture next = fixture(listener);
+        CompletableFuture<Void> ended = old.stop();
+        awaitLoop(old);
+        expectStatus(next, "q0", 503);
+        expectStatus(next, "q1", 200);
+        assertEquals(1, next.counter("queries_repeated"));
+        ended.get(8, TimeUnit.SECONDS);
+        old.close();
+        next.close();
+      }
+    }
+  }
+
+  /**
+   * Guards against an id that is executed again by a process that starts after the one that has
+   * executed it was killed.
+   */
+  @Test
+  void anIdThatAKilledProcessExecutedIsNotExecutedByALaterOne() throws Exception {
+    try (ServerSocketChannel listener = ServerSocketChannel.open()) {
+      listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      BrokerFixture killed = fixture(listener);
+      expectStatus(killed, "q0", 200);
+      killed.vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+      BrokerFixture later = fixture(listener);
+      expectStatus(later, "q0", 503);
+      expectStatus(later, "q1", 200);
+      later.close();
+    }
+  }
+
+  private static void expectStatus(BrokerFixture broker, String id, int expected)
+      throws IOException {
+    try (Socket client = new Socket(InetAddress.getLoopbackAddress(), broker.httpPort)) {
+      ask(client, id);
+      client.setSoTimeout(5_000);
+      String expectedLine = "HTTP/1.1 " + expected;
+      byte[] status = client.getInputStream().readNBytes(expectedLine.length());
+      assertEquals(expectedLine, new String(status, StandardCharsets.UTF_8));
+    }
+  }
+
   /**
    * Clients that connect after the old process was asked to stop are accepted by the new one.
    * Clients of the old process are served by it, and the response closes their connection. The
