The id of a query is released only where it was claimed

Change: the event of a query says whether its id is not shared, claimed or refused (IdClaim); only a claimed one is released, and after the answer.

--- a/src/main/java/dunlinhitch/core/Event.java
+++ b/src/main/java/dunlinhitch/core/Event.java
@@ -41,21 +41,30 @@
    *
    * @param exchange the frontend's number for the exchange; unique within the process
    * @param request the request
-   * @param claimed false if the id of the query is claimed already, by this or another process of
-   *     this broker
+   * @param claim whether the id of the query was claimed among the processes of this broker
    */
-  record QueryReceived(long exchange, QueryRequest request, boolean claimed) implements QueryEvent {
-    /** Creates the event of a query whose id no other process has claimed. */
+  record QueryReceived(long exchange, QueryRequest request, IdClaim claim) implements QueryEvent {
+    /** Creates the event of a query whose id is not shared with other processes. */
     public QueryReceived(long exchange, QueryRequest request) {
-      this(exchange, request, true);
+      this(exchange, request, IdClaim.NOT_SHARED);
     }
 
-    /** Returns this event with the result of the claim. */
-    public QueryReceived withClaim(boolean claimSucceeded) {
-      return new QueryReceived(exchange, request, claimSucceeded);
+    /** Returns this event with the result of a claim. */
+    public QueryReceived withClaim(IdClaim result) {
+      return new QueryReceived(exchange, request, result);
     }
   }
 
+  /** The result of claiming the id of a query among the processes of this broker. */
+  enum IdClaim {
+    /** This process shares no ids with others. */
+    NOT_SHARED,
+    /** This process has claimed the id, and releases it if nothing can have been executed. */
+    CLAIMED,
+    /** The id is claimed already, by this or another process. */
+    REFUSED
+  }
+
   /** The client of the exchange has disconnected. */
   record ClientDisconnected(long exchange) implements QueryEvent {}
 
--- a/src/main/java/dunlinhitch/core/InFlightQuery.java
+++ b/src/main/java/dunlinhitch/core/InFlightQuery.java
@@ -28,6 +28,9 @@
   /** The result of the first step; null until the second step starts. */
   Effect.FirstStep firstStep;
 
+  /** Whether this process has claimed the id among the processes of this broker. */
+  boolean idClaimed;
+
   /** Maximum number of attempts per part under the settings in effect when the query arrived. */
   final int attemptLimit;
 
--- a/src/main/java/dunlinhitch/core/QueryCompletion.java
+++ b/src/main/java/dunlinhitch/core/QueryCompletion.java
@@ -64,7 +64,7 @@
   void close(InFlightQuery query) {
     if (query.mayHaveExecuted()) {
       registry.executedQueries.add(query.request.id(), context.nowUs());
-    } else {
+    } else if (query.idClaimed) {
       context.emit(new Effect.ReleaseQueryId(query.request.id()));
     }
     registry.remove(query);
--- a/src/main/java/dunlinhitch/core/QueryStage.java
+++ b/src/main/java/dunlinhitch/core/QueryStage.java
@@ -62,7 +62,7 @@
     int tenant = context.tenantIndex(request.tenant());
     boolean unknownTenant = !settings.tenants().isEmpty() && tenant < 0;
     counters.add(Counter.TENANTS_UNKNOWN, unknownTenant ? 1 : 0);
-    if (!event.claimed() || isRepeat(request)) {
+    if (event.claim() == Event.IdClaim.REFUSED || isRepeat(request)) {
       counters.add(Counter.QUERIES_REPEATED);
       counters.add(Counter.QUERIES_NOT_ADMITTED);
       completion.emit(event.exchange(), request, responseToRepeat(request));
@@ -70,11 +70,14 @@
     }
     if (queryClass < 0 || !isAdmissible(event.request(), request)) {
       counters.add(Counter.QUERIES_NOT_ADMITTED);
-      context.emit(new Effect.ReleaseQueryId(request.id()));
       completion.emit(event.exchange(), request, rejection());
+      if (event.claim() == Event.IdClaim.CLAIMED) {
+        context.emit(new Effect.ReleaseQueryId(request.id()));
+      }
       return;
     }
     InFlightQuery query = open(event.exchange(), request);
+    query.idClaimed = event.claim() == Event.IdClaim.CLAIMED;
     if (twoPhases == null || !twoPhases.open(query)) {
       deliver(query, queryClass, tenant);
     }
--- a/src/main/java/dunlinhitch/server/QueryIdClaims.java
+++ b/src/main/java/dunlinhitch/server/QueryIdClaims.java
@@ -76,10 +76,11 @@
     }
   }
 
-  private boolean claim(QueryRequest request) {
+  private Event.IdClaim claim(QueryRequest request) {
     long nowUs = sharedNowUs();
     long remainingUs = Math.max(0, request.deadlineUs() - clock.getAsLong());
-    return ids.claim(request.id(), nowUs, nowUs + remainingUs + ExecutedQueries.RETENTION_US);
+    long untilUs = nowUs + remainingUs + ExecutedQueries.RETENTION_US;
+    return ids.claim(request.id(), nowUs, untilUs) ? Event.IdClaim.CLAIMED : Event.IdClaim.REFUSED;
   }
 
   /** Releases the id of a query that no store can have executed. */
--- a/src/test/java/dunlinhitch/core/QueryStageTest.java
+++ b/src/test/java/dunlinhitch/core/QueryStageTest.java
@@ -90,7 +90,7 @@
   @Test
   void anIdThatIsClaimedElsewhereIsRefused() {
     listBothEndpoints();
-    turn(((Event.QueryReceived) queryReceived(1, 0, 1)).withClaim(false));
+    turn(withClaim(Event.IdClaim.REFUSED, queryReceived(1, 0, 1)));
     assertEquals(0, attemptsIn(effects).size());
     assertTrue(responseTo(1) instanceof QueryResponse.Rejected);
     assertEquals(List.of(), effectsOf(Effect.ReleaseQueryId.class));
@@ -99,17 +99,23 @@
   /** Guards against an id that is refused everywhere although no store can have executed it. */
   @Test
   void onlyTheIdOfWhichNothingWasExecutedIsReleased() {
-    turn(queryReceived(1, 0, 1));
+    turn(withClaim(Event.IdClaim.CLAIMED, queryReceived(1, 0, 1)));
     turn(new Event.ClientDisconnected(1));
-    turn(queryReceived(2, 0, 400)); // above the limit of parts in flight
+    // above the limit of parts in flight
+    turn(withClaim(Event.IdClaim.CLAIMED, queryReceived(2, 0, 400)));
+    turn(queryReceived(3, 0, 400));
     listBothEndpoints();
-    turn(queryReceived(3, 0, 1));
-    turn(new Event.ClientDisconnected(3));
+    turn(withClaim(Event.IdClaim.CLAIMED, queryReceived(4, 0, 1)));
+    turn(new Event.ClientDisconnected(4));
     assertEquals(
         List.of(new Effect.ReleaseQueryId("q1"), new Effect.ReleaseQueryId("q2")),
         effectsOf(Effect.ReleaseQueryId.class));
   }
 
+  private static Event withClaim(Event.IdClaim claim, Event event) {
+    return ((Event.QueryReceived) event).withClaim(claim);
+  }
+
   private static Event withId(String id, Event event) {
     Event.QueryReceived received = (Event.QueryReceived) event;
     QueryRequest request = received.request();
