--- a/src/main/java/dunlinhitch/backend/flight/TextColumn.java
+++ b/src/main/java/dunlinhitch/backend/flight/TextColumn.java
@@ -12,6 +12,8 @@
  * last one there is only padding, which is zero. Stateless.
  */
 final class TextColumn {
+  private static final int NO_OFFSETS = 0;
+
   private TextColumn() {}
 
   /**
@@ -25,39 +27,39 @@
     if (rows == 0) {
       return true;
     }
-    if (column instanceof BaseVariableWidthVector text) {
-      ArrowBuf offsets = text.getOffsetBuffer();
-      return coverData(
-          position -> offsets.getInt((long) position * BaseVariableWidthVector.OFFSET_WIDTH),
-          rows,
-          text.getDataBuffer());
-    }
-    if (column instanceof BaseLargeVariableWidthVector text) {
-      ArrowBuf offsets = text.getOffsetBuffer();
-      return coverData(
-          position -> offsets.getLong((long) position * BaseLargeVariableWidthVector.OFFSET_WIDTH),
-          rows,
-          text.getDataBuffer());
-    }
-    return true;
+    int offsetBytes = offsetBytes(column);
+    return offsetBytes == NO_OFFSETS
+        || coverData(column.getOffsetBuffer(), offsetBytes, rows, column.getDataBuffer());
   }
 
-  /** Reads the offset at a position. */
-  private interface Offsets {
-    long at(int position);
+  /** Returns the size of an offset of the column, or {@link #NO_OFFSETS}. */
+  private static int offsetBytes(FieldVector column) {
+    if (column instanceof BaseVariableWidthVector) {
+      return BaseVariableWidthVector.OFFSET_WIDTH;
+    }
+    return column instanceof BaseLargeVariableWidthVector
+        ? BaseLargeVariableWidthVector.OFFSET_WIDTH
+        : NO_OFFSETS;
   }
 
-  private static boolean coverData(Offsets offsets, int rows, ArrowBuf data) {
-    if (offsets.at(0) != 0) {
+  private static boolean coverData(ArrowBuf offsets, int offsetBytes, int rows, ArrowBuf data) {
+    long previous = offset(offsets, offsetBytes, 0);
+    if (previous != 0) {
       return false;
     }
-    for (int row = 0; row < rows; row++) {
-      if (offsets.at(row + 1) < offsets.at(row)) {
+    for (int position = 1; position <= rows; position++) {
+      long next = offset(offsets, offsetBytes, position);
+      if (next < previous) {
         return false;
       }
+      previous = next;
     }
-    long end = offsets.at(rows);
-    return end <= data.capacity() && isPadding(data, end);
+    return previous <= data.capacity() && isPadding(data, previous);
+  }
+
+  private static long offset(ArrowBuf offsets, int offsetBytes, int position) {
+    long start = (long) position * offsetBytes;
+    return offsetBytes == Integer.BYTES ? offsets.getInt(start) : offsets.getLong(start);
   }
 
   private static boolean isPadding(ArrowBuf data, long start) {
--- a/src/main/java/dunlinhitch/backend/frames/FrameConnection.java
+++ b/src/main/java/dunlinhitch/backend/frames/FrameConnection.java
@@ -291,7 +291,6 @@
       if (confirm) {
         release(attempt);
       }
-      closeIfDrained();
       return true;
     }
     InFlightAttempt cancelled = inFlight.find(attempt);
@@ -387,7 +386,9 @@
   }
 
   private void onSocketClosed() {
-    replyReader.onClosed(end.isInOrder());
+    if (end.isInOrder()) {
+      replyReader.onEndOfStream();
+    }
     reportClosed(end.isKnownToStore());
     if (end.isKnownToStore()) {
       unconfirmed.onConnectionEndedByStore();
@@ -406,7 +407,7 @@
     }
     closed = true;
     onClosed.accept(this);
-    replyReader.onClosed(false);
+    replyReader.onClosed();
     failPending();
     inFlight.drain().forEach(lost -> completeLost(lost, knownToStore));
     AttemptOutcome outcome = socket == null ? AttemptOutcome.CONNECT_FAILED : AttemptOutcome.RESET;
--- a/src/main/java/dunlinhitch/backend/frames/ReplyReader.java
+++ b/src/main/java/dunlinhitch/backend/frames/ReplyReader.java
@@ -21,7 +21,7 @@
   private static final long FRAME_TIMEOUT_US = 400_000;
 
   /** Half of the time without further bytes after which a reply is taken as whole. */
-  private static final long HALF_QUIET_US = 5_000;
+  private static final long HALF_QUIET_MS = 5;
 
   /** The payload of a health check reply from a store that considers itself unhealthy. */
   private static final String UNHEALTHY = "bad";
@@ -34,9 +34,10 @@
   private final UnconfirmedAttempts unconfirmed;
   private final BooleanSupplier isClosed;
   private final Runnable closeConnection;
-  private final Runnable onVerified;
+  private final Runnable onNothingHeld;
   private final UnverifiedReply lastReply;
   private final FrameDecoder decoder = new FrameDecoder();
+  private final FrameHandler frameHandler = new FrameHandler();
 
   /** The time at which the bytes that are being read were received, in microseconds. */
   private long receivedUs;
@@ -52,7 +53,8 @@
   /**
    * Creates a reader for a connection from which nothing was received yet.
    *
-   * @param onVerified called when a reply that was held back has been accepted after a quiet time
+   * @param onNothingHeld called when a reply is no longer held back, because a quiet time has
+   *     passed or its attempt was cancelled
    */
   ReplyReader(
       FrameTransport.Shared shared,
@@ -61,14 +63,14 @@
       UnconfirmedAttempts unconfirmed,
       BooleanSupplier isClosed,
       Runnable closeConnection,
-      Runnable onVerified) {
+      Runnable onNothingHeld) {
     this.shared = shared;
     this.inFlight = inFlight;
     this.healthChecks = healthChecks;
     this.unconfirmed = unconfirmed;
     this.isClosed = isClosed;
     this.closeConnection = closeConnection;
-    this.onVerified = onVerified;
+    this.onNothingHeld = onNothingHeld;
     lastReply = new UnverifiedReply(shared.events);
   }
 
@@ -83,36 +85,30 @@
    * @return false if no reply to this attempt is held back
    */
   boolean withdraw(long attempt) {
-    return lastReply.withdraw(attempt);
+    boolean withdrawn = lastReply.withdraw(attempt);
+    if (withdrawn) {
+      onNothingHeld.run();
+    }
+    return withdrawn;
   }
 
-  /** Handles the end of the connection: accepts the reply that is held back, or rejects it. */
-  void onClosed(boolean endedInOrder) {
-    if (endedInOrder && !decoder.hasIncompleteFrame()) {
+  /** Accepts the reply that is held back, unless more bytes have followed it. */
+  void onEndOfStream() {
+    if (!decoder.hasIncompleteFrame()) {
       lastReply.verify();
-    } else {
-      lastReply.reject();
     }
   }
 
+  /** Rejects the reply that is held back: nothing can show any more that it was whole. */
+  void onClosed() {
+    lastReply.reject();
+  }
+
   /** Reads bytes that were received at {@code nowUs}, in microseconds. */
   void read(Buffer bytes, long nowUs) {
     receivedUs = nowUs;
     try {
-      decoder.read(
-          bytes,
-          new FrameDecoder.Handler() {
-            @Override
-            public void onHeader() {
-              lastReply.verify();
-            }
-
-            @Override
-            public void handle(Frame frame) throws MalformedFrameException {
-              completeFrames++;
-              ReplyReader.this.handle(frame);
-            }
-          });
+      decoder.read(bytes, frameHandler);
       awaitFrameEnd();
       awaitQuiet();
     } catch (MalformedFrameException e) {
@@ -168,7 +164,7 @@
 
   private void afterHalfQuietTime(long reply, Runnable task) {
     shared.vertx.setTimer(
-        MicroClock.timerMs(0, HALF_QUIET_US),
+        HALF_QUIET_MS,
         timer -> {
           boolean current = hasUnverifiedReply() && lastReply.number() == reply;
           if (current && !decoder.hasIncompleteFrame()) {
@@ -179,7 +175,7 @@
 
   private void onQuiet() {
     lastReply.verify();
-    onVerified.run();
+    onNothingHeld.run();
   }
 
   private void handle(Frame frame) throws MalformedFrameException {
@@ -269,4 +265,18 @@
             new Event.HealthCheckCompleted(
                 healthCheck.getAsLong(), AttemptOutcome.RESET, NO_REPORT)));
   }
+
+  /** Receives the decoded frames. */
+  private final class FrameHandler implements FrameDecoder.Handler {
+    @Override
+    public void onHeader() {
+      lastReply.verify();
+    }
+
+    @Override
+    public void handle(Frame frame) throws MalformedFrameException {
+      completeFrames++;
+      ReplyReader.this.handle(frame);
+    }
+  }
 }
--- a/src/main/java/dunlinhitch/config/Config.java
+++ b/src/main/java/dunlinhitch/config/Config.java
@@ -65,6 +65,11 @@
         null);
   }
 
+  /** Returns a folder below the one that the processes of this broker share, or null. */
+  public Path sharedFolder(String name) {
+    return sharedFolder == null ? null : sharedFolder.resolve(name);
+  }
+
   /**
    * A network address.
    *
--- a/src/main/java/dunlinhitch/core/QueryStage.java
+++ b/src/main/java/dunlinhitch/core/QueryStage.java
@@ -62,7 +62,7 @@
     int tenant = context.tenantIndex(request.tenant());
     boolean unknownTenant = !settings.tenants().isEmpty() && tenant < 0;
     counters.add(Counter.TENANTS_UNKNOWN, unknownTenant ? 1 : 0);
-    if (event.claim() == Event.IdClaim.REFUSED || isRepeat(request)) {
+    if (isRepeat(event)) {
       counters.add(Counter.QUERIES_REPEATED);
       counters.add(Counter.QUERIES_NOT_ADMITTED);
       completion.emit(event.exchange(), request, responseToRepeat(request));
@@ -83,10 +83,15 @@
     }
   }
 
-  /** Whether the id is that of an open query, or of one that may have been executed. */
-  private boolean isRepeat(QueryRequest request) {
-    return registry.queriesById.containsKey(request.id())
-        || registry.executedQueries.contains(request.id(), context.nowUs());
+  /**
+   * Whether the id is that of an open query, or of one that may have been executed, by this or
+   * another process of this broker.
+   */
+  private boolean isRepeat(Event.QueryReceived event) {
+    String id = event.request().id();
+    return event.claim() == Event.IdClaim.REFUSED
+        || registry.queriesById.containsKey(id)
+        || registry.executedQueries.contains(id, context.nowUs());
   }
 
   /**
--- a/src/main/java/dunlinhitch/server/AdminInterface.java
+++ b/src/main/java/dunlinhitch/server/AdminInterface.java
@@ -45,9 +45,7 @@
     disabledEndpoints =
         new DisabledEndpointFolder(
             runtime.vertx(),
-            config.sharedFolder() == null
-                ? null
-                : config.sharedFolder().resolve(DISABLED_ENDPOINTS_FOLDER),
+            config.sharedFolder(DISABLED_ENDPOINTS_FOLDER),
             (disabled, enabled) ->
                 events.accept(new Event.DisabledEndpointsChanged(disabled, enabled)));
   }
--- a/src/main/java/dunlinhitch/server/Broker.java
+++ b/src/main/java/dunlinhitch/server/Broker.java
@@ -12,7 +12,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import java.nio.file.Path;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -98,7 +97,7 @@
             vertx, context, reducer, clock, () -> reducer.settings().tickUs(), this::reportFault);
     DescriptorBudget budget = new DescriptorBudget(config.sockets(), shared);
     queryIdClaims =
-        new QueryIdClaims(vertx, sharedFolder(QUERY_IDS_FOLDER), clock, loop, runtime.log());
+        new QueryIdClaims(vertx, config.sharedFolder(QUERY_IDS_FOLDER), clock, loop, runtime.log());
     frontends = new Frontends(runtime, reducer, budget, listener, this::isReady, queryIdClaims);
     admin = new AdminInterface(runtime, reducer, this::isReady, loop);
     transportFactory = new BackendTransportFactory(runtime, reducer, budget, loop);
@@ -109,18 +108,13 @@
     overlapMonitor =
         config.sharedFolder() == null
             ? null
-            : new OverlapMonitor(vertx, sharedFolder(LOCK_FOLDER), clock, loop, runtime.log());
+            : new OverlapMonitor(
+                vertx, config.sharedFolder(LOCK_FOLDER), clock, loop, runtime.log());
     loop.setEffectHandler(effectDispatcher());
     loop.accept(
         new Event.DiscoveryConfigured(config.discovery().host(), config.discovery().port()));
   }
 
-  /** Returns a folder that the processes of this broker share, or null if they share none. */
-  private Path sharedFolder(String name) {
-    Path folder = runtime.config().sharedFolder();
-    return folder == null ? null : folder.resolve(name);
-  }
-
   private EffectDispatcher effectDispatcher() {
     EffectDispatcher dispatcher =
         new EffectDispatcher()
--- a/src/main/java/dunlinhitch/server/QueryIdClaims.java
+++ b/src/main/java/dunlinhitch/server/QueryIdClaims.java
@@ -83,11 +83,9 @@
     return ids.claim(request.id(), nowUs, untilUs) ? Event.IdClaim.CLAIMED : Event.IdClaim.REFUSED;
   }
 
-  /** Releases the id of a query that no store can have executed. */
+  /** Releases an id that was claimed here, because no store can have executed its query. */
   void release(Effect.ReleaseQueryId release) {
-    if (ids != null) {
-      ids.release(release.id(), sharedNowUs());
-    }
+    ids.release(release.id(), sharedNowUs());
   }
 
   /** The system's monotonic clock, whose origin is the same for all processes. */
--- a/src/main/java/dunlinhitch/server/SharedQueryIds.java
+++ b/src/main/java/dunlinhitch/server/SharedQueryIds.java
@@ -162,18 +162,18 @@
   private int reserve(int bucket, long nowUs, long claim) {
     while (true) {
       int best = bucket;
-      long bestUntilUs = Long.MAX_VALUE;
+      long bestRank = Long.MAX_VALUE;
+      long replaced = FREE;
       for (int slot = bucket; slot < bucket + SLOTS_PER_BUCKET; slot++) {
         long untilUs = untilUs(slot);
         long rank = isClaimed(untilUs, nowUs) ? untilUs : FREE;
-        if (rank < bestUntilUs) {
+        if (rank < bestRank) {
           best = slot;
-          bestUntilUs = rank;
+          bestRank = rank;
+          replaced = untilUs;
         }
       }
-      long replaced = untilUs(best);
-      boolean unchanged = bestUntilUs == (isClaimed(replaced, nowUs) ? replaced : FREE);
-      if (unchanged && LONGS.compareAndSet(slots, untilPosition(best), replaced, claim)) {
+      if (LONGS.compareAndSet(slots, untilPosition(best), replaced, claim)) {
         return best;
       }
     }
@@ -201,12 +201,12 @@
   }
 
   /** Returns the first slot of the bucket to which a hash belongs. */
-  private static int bucketOf(long hash) {
+  static int bucketOf(long hash) {
     return (int) Long.remainderUnsigned(hash, BUCKETS) * SLOTS_PER_BUCKET;
   }
 
   /** Returns a hash that is the same in all processes and releases. */
-  private static long hash(String id) {
+  static long hash(String id) {
     return Hashing.farmHashFingerprint64().hashString(id, StandardCharsets.UTF_8).asLong();
   }
 }
--- a/src/test/java/dunlinhitch/backend/frames/FrameTransportFixture.java
+++ b/src/test/java/dunlinhitch/backend/frames/FrameTransportFixture.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
@@ -110,6 +112,17 @@
         });
   }
 
+  /** Creates the shared resources of a test that handles all events by itself. */
+  static FrameTransport.Shared shared(Vertx owner, LongSupplier clock, Consumer<Event> events) {
+    return new FrameTransport.Shared(
+        owner,
+        () -> BrokerFixture.settings(100).limits(),
+        () -> 1,
+        new LoadReportParser(() -> BrokerFixture.settings(100).reportFields()),
+        clock,
+        events);
+  }
+
   static Endpoint endpoint(int port) {
     return new Endpoint(
         "s", "127.0.0.1", port, 0, 0, ServerState.READY, 1, 0, Endpoint.Protocol.FRAMES);
--- a/src/test/java/dunlinhitch/backend/frames/FrameTransportTest.java
+++ b/src/test/java/dunlinhitch/backend/frames/FrameTransportTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dunlinhitch.backend.LoadReportParser;
 import dunlinhitch.balancer.AttemptOutcome;
 import dunlinhitch.balancer.ServerState;
 import dunlinhitch.core.Effect.AttemptRequest;
@@ -234,11 +233,8 @@
   void callOnFailedConnectionEndsAtOnce() throws Exception {
     BlockingQueue<Event> probes = new LinkedBlockingQueue<>();
     FrameTransport.Shared shared =
-        new FrameTransport.Shared(
+        shared(
             vertx,
-            () -> BrokerFixture.settings(100).limits(),
-            () -> 1,
-            new LoadReportParser(() -> BrokerFixture.settings(100).reportFields()),
             this::nowUs,
             event -> {
               if (event instanceof Event.AttemptCompleted completion) {
--- a/src/test/java/dunlinhitch/backend/frames/SpoiltLengthTest.java
+++ b/src/test/java/dunlinhitch/backend/frames/SpoiltLengthTest.java
@@ -4,12 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dunlinhitch.backend.LoadReportParser;
 import dunlinhitch.balancer.AttemptOutcome;
 import dunlinhitch.core.Counter;
 import dunlinhitch.core.Event;
 import dunlinhitch.core.MicroClock;
-import dunlinhitch.experiments.fakes.BrokerFixture;
 import dunlinhitch.experiments.fakes.FrameStore;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -114,16 +112,8 @@
   }
 
   private ReplyReader reader() {
-    FrameTransport.Shared shared =
-        new FrameTransport.Shared(
-            vertx,
-            () -> BrokerFixture.settings(100).limits(),
-            () -> 1,
-            new LoadReportParser(() -> BrokerFixture.settings(100).reportFields()),
-            clock,
-            events::add);
     return new ReplyReader(
-        shared,
+        FrameTransportFixture.shared(vertx, clock, events::add),
         inFlight,
         healthChecks,
         new UnconfirmedAttempts(attempt -> {}),
@@ -134,7 +124,7 @@
 
   private void close() {
     closed = true;
-    reader.onClosed(false);
+    reader.onClosed();
   }
 
   private static InFlightAttempts.InFlightAttempt attempt(int attempt, Kind kind) {
@@ -273,7 +263,7 @@
   @EnumSource(Kind.class)
   void answerIsAcceptedAtTheEndOfTheStream(Kind kind) throws Exception {
     read(kind, kind.reply(FIRST));
-    run(() -> reader.onClosed(true));
+    run(reader::onEndOfStream);
     expectAnswer(FIRST, kind);
   }
 
@@ -282,7 +272,11 @@
   @CsvSource({"PART, 1", "PART, 3", "FIRST_PASS, 1", "FIRST_PASS, 3"})
   void restOfAFewBytesIsNotAcceptedAtTheEndOfTheStream(Kind kind, int tooShortBy) throws Exception {
     read(kind, kind.reply(FIRST, -tooShortBy));
-    run(() -> reader.onClosed(true));
+    run(
+        () -> {
+          reader.onEndOfStream();
+          reader.onClosed();
+        });
     assertEquals(Event.AttemptCompleted.of(FIRST, AttemptOutcome.RESET), nextEnd());
   }
 
--- a/src/test/java/dunlinhitch/server/HotRestartTest.java
+++ b/src/test/java/dunlinhitch/server/HotRestartTest.java
@@ -30,6 +30,11 @@
   /** The folder that the processes share. */
   @TempDir Path folder;
 
+  private static ServerSocketChannel listen() throws IOException {
+    return ServerSocketChannel.open()
+        .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+  }
+
   private BrokerFixture fixture(ServerSocketChannel listener) throws Exception {
     return fixture(listener, part -> Behavior.GOOD);
   }
@@ -86,8 +91,7 @@
   /** Guards against an id that is executed once by each process of a hot restart. */
   @Test
   void anIdThatTheOldProcessExecutedIsNotExecutedByTheNewOne() throws Exception {
-    try (ServerSocketChannel listener = ServerSocketChannel.open()) {
-      listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    try (ServerSocketChannel listener = listen()) {
       BrokerFixture old = fixture(listener);
       try (Socket client = new Socket(InetAddress.getLoopbackAddress(), old.httpPort)) {
         ask(client, "q0");
@@ -96,10 +100,8 @@
       BrokerFixture next = fixture(listener);
       CompletableFuture<Void> ended = old.stop();
       awaitLoop(old);
-      try (Socket client = new Socket(InetAddress.getLoopbackAddress(), next.httpPort)) {
-        ask(client, "q0");
-        byte[] status = client.getInputStream().readNBytes("HTTP/1.1 503".length());
-        assertEquals("HTTP/1.1 503", new String(status, StandardCharsets.UTF_8));
+      try {
+        expectStatus(next, "q0", 503);
       } finally {
         ended.get(8, TimeUnit.SECONDS);
         old.close();
@@ -111,8 +113,7 @@
   /** Guards against a second run of an open query, by the other process of a hot restart. */
   @Test
   void anIdThatIsOpenInOneProcessIsNotExecutedByTheOther() throws Exception {
-    try (ServerSocketChannel listener = ServerSocketChannel.open()) {
-      listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    try (ServerSocketChannel listener = listen()) {
       CountDownLatch received = new CountDownLatch(1);
       BrokerFixture old =
           fixture(
@@ -143,8 +144,7 @@
    */
   @Test
   void anIdThatAKilledProcessExecutedIsNotExecutedByALaterOne() throws Exception {
-    try (ServerSocketChannel listener = ServerSocketChannel.open()) {
-      listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    try (ServerSocketChannel listener = listen()) {
       BrokerFixture killed = fixture(listener);
       expectStatus(killed, "q0", 200);
       killed.vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
@@ -173,8 +173,7 @@
    */
   @Test
   void newClientsConnectToNewProcessAndOldOnesAreServed() throws Exception {
-    try (ServerSocketChannel listener = ServerSocketChannel.open()) {
-      listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    try (ServerSocketChannel listener = listen()) {
       int port = ((InetSocketAddress) listener.getLocalAddress()).getPort();
       BrokerFixture old = fixture(listener);
       assertEquals(port, old.httpPort);
--- a/src/test/java/dunlinhitch/server/SharedQueryIdsTest.java
+++ b/src/test/java/dunlinhitch/server/SharedQueryIdsTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.common.hash.Hashing;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -108,9 +107,8 @@
     assertTrue(ids.claim(sameBucket.get(0), NOW, NOW + SECOND));
   }
 
-  private static long bucket(String id) {
-    long hash = Hashing.farmHashFingerprint64().hashString(id, StandardCharsets.UTF_8).asLong();
-    return Long.remainderUnsigned(hash, 4_096);
+  private static int bucket(String id) {
+    return SharedQueryIds.bucketOf(SharedQueryIds.hash(id));
   }
 
   /** Guards against a file of another size, which could not be read without a fault. */
