A process beside crowds of slow connections passes its memory limit: failing test

CrowdMemoryIT starts the broker by the deploy file's own command, with limits in its settings and 1,024 descriptors, and measures the resident set and the files below $TMPDIR from outside, beside 600 connections that come again when they are closed: fifteen shapes, all of them mixed, and mixed at a start and after a kill. Usual clients ask meanwhile. `experiments memory` runs the same by hand. It needs the built program, so Failsafe runs it after the package phase of `mvn verify`.

--- a/src/main/java/dunlinhitch/experiments/ExperimentsCommand.java
+++ b/src/main/java/dunlinhitch/experiments/ExperimentsCommand.java
@@ -3,6 +3,7 @@
 import dunlinhitch.experiments.flood.FloodCommand;
 import dunlinhitch.experiments.measurements.FloorsCommand;
 import dunlinhitch.experiments.measurements.Measures;
+import dunlinhitch.experiments.memory.MemoryCommand;
 import dunlinhitch.experiments.modelchecker.ExploreCommand;
 import dunlinhitch.experiments.modelchecker.Models;
 import dunlinhitch.experiments.simulation.SimulationCommands;
@@ -32,7 +33,8 @@
       ExploreCommand.class,
       FloorsCommand.class,
       SoakCommand.class,
-      FloodCommand.class
+      FloodCommand.class,
+      MemoryCommand.class
     })
 public final class ExperimentsCommand implements Callable<Integer> {
   @Override
--- a/src/main/java/dunlinhitch/experiments/flood/FairClient.java
+++ b/src/main/java/dunlinhitch/experiments/flood/FairClient.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -13,9 +14,9 @@
  * A client that keeps to the protocol: it sends one query at a time on a connection of its own, and
  * connects again only if the broker has closed the connection.
  */
-final class FairClient {
+public final class FairClient {
   /** How a query ended. */
-  enum End {
+  public enum End {
     SERVED,
     REFUSED,
     FAILED,
@@ -33,10 +34,9 @@
    * @param sentUs when it was sent, in microseconds
    * @param latencyUs time to the last byte of its answer, or to its end without one
    */
-  record Outcome(End end, long sentUs, long latencyUs) {}
+  public record Outcome(End end, long sentUs, long latencyUs) {}
 
   static final int PATIENCE_MS = 1_000;
-  private static final int TIME_MS = 300;
   private static final int INTERVAL_MS = 40;
   private static final long NS_PER_US = 1_000;
   private static final long US_PER_MS = 1_000;
@@ -45,18 +45,26 @@
 
   private final int port;
   private final RequestGrammar grammar;
+  private final int timeMs;
   private final Thread thread = new Thread(this::run, "fair");
   private final List<Outcome> outcomes = new ArrayList<>();
   private volatile boolean closed;
   private Socket socket;
 
-  FairClient(int port, RequestGrammar grammar) {
+  /**
+   * Creates a client that does not run yet.
+   *
+   * @param timeMs time to live of each query
+   */
+  public FairClient(int port, RequestGrammar grammar, int timeMs) {
     this.port = port;
     this.grammar = grammar;
+    this.timeMs = timeMs;
     thread.setDaemon(true);
   }
 
-  void start() {
+  /** Starts to send queries. */
+  public void start() {
     thread.start();
   }
 
@@ -87,13 +95,15 @@
   private End ask(long sentUs) {
     try {
       if (socket == null) {
-        socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket = new Socket();
+        socket.connect(
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), port), timeMs + PATIENCE_MS);
         socket.setTcpNoDelay(true);
-        socket.setSoTimeout(TIME_MS + PATIENCE_MS);
+        socket.setSoTimeout(timeMs + PATIENCE_MS);
       }
-      socket.getOutputStream().write(grammar.query().getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().write(grammar.query(timeMs).getBytes(StandardCharsets.ISO_8859_1));
       int status = HttpResponses.readOne(socket.getInputStream());
-      if (nowUs() - sentUs > TIME_MS * US_PER_MS) {
+      if (nowUs() - sentUs > timeMs * US_PER_MS) {
         return End.LATE;
       }
       return status == OK ? End.SERVED : status == REFUSED ? End.REFUSED : End.FAILED;
@@ -120,7 +130,7 @@
   }
 
   /** Ends the client and returns how its queries ended. */
-  List<Outcome> end() throws InterruptedException {
+  public List<Outcome> end() throws InterruptedException {
     closed = true;
     thread.join();
     return outcomes;
--- a/src/main/java/dunlinhitch/experiments/flood/FloodRun.java
+++ b/src/main/java/dunlinhitch/experiments/flood/FloodRun.java
@@ -20,6 +20,7 @@
   private static final int CROWD_SIZE = 400;
 
   private static final int FAIR_CLIENTS = 2;
+  private static final int FAIR_TIME_MS = 300;
   private static final int SHARDS = 2;
   private static final String QUERY_CLASS = "free-search";
 
@@ -102,7 +103,9 @@
     for (int i = 0; i < FAIR_CLIENTS; i++) {
       fair.add(
           new FairClient(
-              node.httpPort, new RequestGrammar(seed + i, "fair" + i + "-", QUERY_CLASS, SHARDS)));
+              node.httpPort,
+              new RequestGrammar(seed + i, "fair" + i + "-", QUERY_CLASS, SHARDS),
+              FAIR_TIME_MS));
     }
     PageProbe probe =
         new PageProbe(
--- a/src/main/java/dunlinhitch/experiments/flood/RequestGrammar.java
+++ b/src/main/java/dunlinhitch/experiments/flood/RequestGrammar.java
@@ -11,6 +11,9 @@
 
   private static final int LARGE_BODY_BYTES = 60 * 1024;
 
+  private static final int QUERY_TIME_MS = 300;
+  private static final double MS_PER_SECOND = 1e3;
+
   private final SplittableRandom random;
   private final String idPrefix;
   private final String queryClass;
@@ -81,9 +84,14 @@
     };
   }
 
-  /** Returns a valid query. */
-  String query() {
-    String headers = "X-Trace-Id: " + id() + "\r\nX-Expires-In: 0.300\r\n";
+  private String query() {
+    return query(QUERY_TIME_MS);
+  }
+
+  /** Returns a valid query with this time to live. */
+  String query(int timeMs) {
+    String seconds = String.format(Locale.ROOT, "%.3f", timeMs / MS_PER_SECOND);
+    String headers = "X-Trace-Id: " + id() + "\r\nX-Expires-In: " + seconds + "\r\n";
     return post("/" + queryClass, headers, body());
   }
 
--- a/src/main/java/dunlinhitch/experiments/testbed/TestBed.java
+++ b/src/main/java/dunlinhitch/experiments/testbed/TestBed.java
@@ -137,24 +137,18 @@
       lines.clear();
       Path config = workingDirectory.resolve("config.json");
       Files.writeString(config, configText());
-      List<String> command = new ArrayList<>(plan.launch().prefix());
-      command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-      command.addAll(plan.launch().jvmOptions());
-      command.addAll(
-          List.of(
-              "-cp",
-              System.getProperty("java.class.path"),
-              "dunlinhitch.cli.Main",
-              "serve",
-              "--config",
-              config.toString()));
+      List<String> command = new ArrayList<>(plan.launch().command());
+      if (plan.launch().deployCommand().isEmpty()) {
+        command.addAll(List.of("--config", config.toString()));
+      }
       if (plan.cluster() != null) {
         Path conf = workingDirectory.resolve("dunlinhitch.conf");
         Files.writeString(conf, clusterSection() + plan.cluster());
         command.addAll(List.of("--conf", conf.toString()));
       }
       ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-      builder.environment().put("TMPDIR", workingDirectory.toString());
+      builder.environment().put("TMPDIR", Files.createDirectories(scratchFolder()).toString());
+      builder.environment().put("ROUTER_CONFIG", config.toString());
       process = builder.start();
       killed = false;
       Process started = process;
@@ -167,13 +161,13 @@
       return String.format(
           Locale.ROOT,
           "{\"name\":\"%s\",\"listen\":\"127.0.0.1:%d\",%s\"discovery\":\"127.0.0.1:%d\","
-              + "\"seed\":\"%x\",\"limits\":{\"sockets\":%d},\"settings\":%s}",
+              + "\"seed\":\"%x\",\"limits\":%s,\"settings\":%s}",
           name,
           httpPort,
           adminPort == 0 ? "" : "\"admin_addr\":\"127.0.0.1:" + adminPort + "\",",
           discoveryProxy.port(),
           seed + httpPort,
-          plan.launch().sockets(),
+          plan.launch().limits(),
           String.format(Locale.ROOT, plan.settings(), nodes.size(), cellCount, cellCount));
     }
 
@@ -217,6 +211,11 @@
       process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
     }
 
+    /** Returns the folder that the process gets as {@code $TMPDIR}; nothing else writes to it. */
+    public Path scratchFolder() {
+      return workingDirectory.resolve("tmp");
+    }
+
     /** Returns the id of the process. */
     public long processId() {
       return process.pid();
