A closed connection leaves the scheduler's queue at once

Callers saw: a process over its memory limit beside hundreds of slow connections.

Cause: an entry of FairScheduler stayed queued after its PacedReader was released, and held channel, pipeline, decoder and Vert.x's connection (about 10 KB) until its visit, which found nothing and still cost one of the 32 of a round. Beside a crowd that comes again when it is closed, 3,817 of 4,419 socket channels in a heap dump were held this way.

Change: the entry is taken out of the queue when the connection ends; the queue is a linked set, so that this takes constant time.

Measured: FairSchedulerTest.aReleasedConnectionIsNeitherVisitedNorKept fails with the new line cut.

--- a/src/main/java/dunlinhitch/flow/FairScheduler.java
+++ b/src/main/java/dunlinhitch/flow/FairScheduler.java
@@ -1,8 +1,9 @@
 package dunlinhitch.flow;
 
 import io.netty.util.concurrent.EventExecutor;
-import java.util.ArrayDeque;
-import java.util.Queue;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -50,10 +51,16 @@
         scheduleRound();
       }
     }
+
+    /** Takes the connection out of the queue; called when the connection is closed. */
+    public void release() {
+      queued = false;
+      queue.remove(this);
+    }
   }
 
   private final EventExecutor loop;
-  private final Queue<Entry> queue = new ArrayDeque<>();
+  private final Set<Entry> queue = new LinkedHashSet<>();
   private boolean roundScheduled;
   private boolean inRound;
 
@@ -93,10 +100,17 @@
   private void visitConnections() {
     int left = MESSAGES_PER_ROUND;
     while (left > 0 && !queue.isEmpty()) {
-      Entry entry = queue.poll();
-      entry.queued = false;
+      Entry entry = takeFirst();
       left -= Math.max(1, entry.source.handle(Math.min(left, MESSAGES_PER_VISIT)));
       entry.submit();
     }
   }
+
+  private Entry takeFirst() {
+    Iterator<Entry> entries = queue.iterator();
+    Entry first = entries.next();
+    entries.remove();
+    first.queued = false;
+    return first;
+  }
 }
--- a/src/main/java/dunlinhitch/flow/http/PacedReader.java
+++ b/src/main/java/dunlinhitch/flow/http/PacedReader.java
@@ -269,6 +269,7 @@
 
   private void release() {
     closed = true;
+    entry.release();
     releaseBuffered();
     budget.cancel(readIfRoom);
     memory.close();
--- a/src/test/java/dunlinhitch/flow/FairSchedulerTest.java
+++ b/src/test/java/dunlinhitch/flow/FairSchedulerTest.java
@@ -1,27 +1,33 @@
 package dunlinhitch.flow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.lang.ref.WeakReference;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** The order and the size of the scheduler's rounds. */
 class FairSchedulerTest {
+  private static final int MAX_COLLECTIONS = 1_000;
+
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final FairScheduler scheduler = new FairScheduler(channel.eventLoop());
   private final List<String> handled = new ArrayList<>();
 
   private final class Backlog implements FairScheduler.Source {
     private final String name;
+    private final FairScheduler.Entry entry = scheduler.register(this);
     private int messages;
 
     Backlog(String name, int messages) {
       this.name = name;
       this.messages = messages;
-      scheduler.register(this).submit();
+      entry.submit();
     }
 
     @Override
@@ -59,4 +65,21 @@
     assertEquals(true, handled.size() > sizeBefore);
     assertEquals(handled.size() / 2, Collections.frequency(handled, "a"));
   }
+
+  /** Guards against closed connections that stay in the queue, with all that belongs to them. */
+  @Test
+  void aReleasedConnectionIsNeitherVisitedNorKept() throws InterruptedException {
+    new Backlog("a", 10_000);
+    Backlog released = new Backlog("released", 1);
+    released.entry.release();
+    WeakReference<Backlog> kept = new WeakReference<>(released);
+    released = null;
+    for (int i = 0; i < MAX_COLLECTIONS && kept.get() != null; i++) {
+      System.gc();
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+    assertNull(kept.get());
+    channel.runPendingTasks();
+    assertEquals(-1, handled.indexOf("released"));
+  }
 }
