Heap and direct memory follow limits.memory_mb; a limit below 112 MB is an error

Callers saw: a process killed for memory. Cause: no code read limits.memory_mb, and the options of the deploy file allowed 72 MB of heap, 24 direct, 48 metaspace, 24 code and 16 of stacks beside malloc's own, more than any limit below 192 MB. A heap that may grow to 72 MB does so beside any crowd.

Change: the deploy file runs deploy/serve.sh, which reads the limit with the shell's own commands (no process may be started on some platforms), gives heap and direct memory what the limit leaves beside all else, and bounds metaspace, code, compiler threads and malloc's arenas. docs/budgets.md has the plan. A limit that it cannot hold for is refused at the start, with CONFIG_MEMORY_TOO_SMALL.

SighupTest took the start of the command up to `java `, which is in the script now; it takes it up to the script and demands the same.

--- /dev/null
+++ b/deploy/serve.sh
@@ -0,0 +1,45 @@
+#!/bin/sh
+# Starts one broker with JVM limits for its memory: heap and direct memory share what limits.memory_mb of the
+# configuration leaves beside everything else (docs/budgets.md). Uses no other process: on some platforms
+# a broker may start none.
+
+# Memory beside heap and direct memory, with the distance that is kept to the limit, in MB.
+OTHER_MB=78
+# Direct memory in MB: this, and an eighth of what the limit has above LEAST_MB.
+DIRECT_MB=8
+LEAST_MB=112
+# The limit that is assumed if the configuration has none, in MB.
+DEFAULT_MB=192
+
+memory_mb=$DEFAULT_MB
+set -f
+while IFS= read -r line || [ -n "$line" ]; do
+  IFS='{},'
+  # one field for each key of the JSON text; the line is not searched with a pattern, because that takes
+  # time in the square of its length
+  for field in $line; do
+    case $field in
+      *'"memory_mb"'*:*)
+        value=${field#*:}
+        value=${value#"${value%%[0-9]*}"}
+        value=${value%%[!0-9]*}
+        [ -n "$value" ] && memory_mb=$value
+        break 2
+        ;;
+    esac
+  done
+done < "${ROUTER_CONFIG:-/dev/null}"
+unset IFS
+
+# below the least limit the program itself ends with an error
+[ "$memory_mb" -lt "$LEAST_MB" ] && memory_mb=$LEAST_MB
+direct_mb=$((DIRECT_MB + (memory_mb - LEAST_MB) / 8))
+heap_mb=$((memory_mb - OTHER_MB - direct_mb))
+
+export MALLOC_ARENA_MAX=1
+exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CICompilerCount=1 \
+  -Xshare:auto -XX:SharedArchiveFile=target/dunlinhitch.jsa \
+  -Xms16m "-Xmx${heap_mb}m" "-XX:MaxDirectMemorySize=${direct_mb}m" -Xss512k \
+  -XX:MaxMetaspaceSize=24m -XX:CompressedClassSpaceSize=8m -XX:ReservedCodeCacheSize=12m -XX:-UsePerfData \
+  -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.numHeapArenas=1 \
+  -jar target/dunlinhitch.jar serve
--- a/src/main/java/dunlinhitch/config/ConfigReader.java
+++ b/src/main/java/dunlinhitch/config/ConfigReader.java
@@ -27,6 +27,9 @@
   /** Minimum number of file descriptors that a broker needs. */
   private static final int MIN_SOCKETS = 64;
 
+  /** Minimum memory limit of a broker in MB; deploy/serve.sh plans with the same. */
+  private static final int MIN_MEMORY_MB = 112;
+
   private static final int SEED_RADIX = 16;
 
   private ConfigReader() {}
@@ -68,6 +71,7 @@
     if (settings == null) {
       throw new ConfigException("the key 'settings' is missing");
     }
+    checkMemoryLimit(root.get("limits"));
     JsonValue endpointList = root.get("known");
     String name = environment.getOrDefault(NAME_VARIABLE, root.getString("name", "broker"));
     GossipAddresses gossipAddresses = GossipAddressesReader.read(root);
@@ -97,6 +101,19 @@
     return text.isEmpty() ? null : Address.parse("admin_addr", text);
   }
 
+  private static void checkMemoryLimit(JsonValue limits) {
+    int memoryMb =
+        isAbsent(limits) ? MIN_MEMORY_MB : limits.asObject().getInt("memory_mb", MIN_MEMORY_MB);
+    if (memoryMb < MIN_MEMORY_MB) {
+      throw new ConfigException(
+          "CONFIG_MEMORY_TOO_SMALL: limits.memory_mb must be at least "
+              + MIN_MEMORY_MB
+              + ", not "
+              + memoryMb
+              + "; give the broker more memory");
+    }
+  }
+
   private static int socketLimit(JsonValue limits) {
     int sockets =
         isAbsent(limits)
--- /dev/null
+++ b/src/test/java/dunlinhitch/cli/DeployCommandTest.java
@@ -0,0 +1,88 @@
+package dunlinhitch.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The JVM limits that the deploy file's command derives from the configuration. */
+class DeployCommandTest {
+  private static final String SCRIPT = "deploy/serve.sh";
+
+  @TempDir private Path directory;
+
+  @BeforeEach
+  void createJava() throws Exception {
+    Path java = directory.resolve("java");
+    Files.writeString(java, "#!/bin/sh\nfor option; do echo \"$option\"; done\n");
+    assertTrue(java.toFile().setExecutable(true));
+  }
+
+  private List<String> options(String config) throws Exception {
+    Path file = directory.resolve("config.json");
+    Files.writeString(file, config);
+    ProcessBuilder builder = new ProcessBuilder("/bin/sh", SCRIPT).redirectErrorStream(true);
+    builder.environment().put("PATH", directory.toString());
+    builder.environment().put("ROUTER_CONFIG", file.toString());
+    Process process = builder.start();
+    List<String> options = process.inputReader().lines().toList();
+    assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+    assertEquals(0, process.exitValue(), options.toString());
+    return options;
+  }
+
+  private static int megabytes(List<String> options, String name) {
+    return options.stream()
+        .filter(option -> option.startsWith(name))
+        .mapToInt(option -> Integer.parseInt(option.substring(name.length()).replace("m", "")))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private static int constant(String name) throws Exception {
+    return Files.readAllLines(Path.of(SCRIPT)).stream()
+        .filter(line -> line.startsWith(name + "="))
+        .mapToInt(line -> Integer.parseInt(line.substring(name.length() + 1)))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Guards against a heap and direct memory that together pass what the limit leaves. */
+  @Test
+  void heapAndDirectMemoryAreWhatTheLimitLeaves() throws Exception {
+    for (int limitMb : new int[] {112, 128, 144, 192, 2048}) {
+      List<String> options = options("{\"limits\":{\"cores\":1.0,\"memory_mb\":" + limitMb + "}}");
+      int usedMb =
+          megabytes(options, "-Xmx")
+              + megabytes(options, "-XX:MaxDirectMemorySize=")
+              + constant("OTHER_MB");
+      assertEquals(limitMb, usedMb);
+    }
+  }
+
+  /** The limit is found wherever it stands, also behind the list of a very large fleet. */
+  @Test
+  void theLimitIsFoundInAnyLayoutOfTheFile() throws Exception {
+    List<String> expected = options("{\"limits\":{\"memory_mb\":144}}");
+    String store = "{\"instanceId\":\"s\",\"hostPort\":\"127.0.0.1:1\"},";
+    String list = "{\"known\":{\"instances\":[" + store.repeat(3_200) + "{}]},";
+    assertEquals(expected, options(list + "\"limits\":{\"sockets\":1,\"memory_mb\":144}}"));
+    assertEquals(
+        expected,
+        options("{\n  \"limits\": {\n    \"memory_mb\": 144,\n    \"sockets\": 9\n  }\n}"));
+  }
+
+  /** Without a limit in the configuration, the largest one of the platform is assumed. */
+  @Test
+  void aFileWithoutALimitIsServedAsWithTheDefault() throws Exception {
+    assertEquals(
+        options("{\"limits\":{\"memory_mb\":" + constant("DEFAULT_MB") + "}}"),
+        options("{\"limits\":{\"sockets\":1024}}"));
+  }
+}
--- a/src/test/java/dunlinhitch/cli/SighupTest.java
+++ b/src/test/java/dunlinhitch/cli/SighupTest.java
@@ -65,7 +65,7 @@
             .filter(line -> line.startsWith("run = "))
             .findFirst()
             .orElseThrow();
-    String before = run.substring(run.indexOf("exec ") + 5, run.indexOf("java "));
+    String before = run.substring(run.indexOf("exec ") + 5, run.indexOf("sh deploy/serve.sh"));
     Vertx vertx = Vertx.vertx();
     try (Discovery discovery = new Discovery(vertx)) {
       discovery.setList();
