Trailer fields that nobody reads are dropped, and undecoded bytes are in the heap

Undecoded bytes lay in direct buffers of the allocator's size.

Change: the decoder extends Netty's own, with the same factory for headers and trailers, and merges undecoded bytes into heap buffers of their size.

--- a/src/main/java/dunlinhitch/flow/http/KeptHeaders.java
+++ b/src/main/java/dunlinhitch/flow/http/KeptHeaders.java
@@ -1,6 +1,8 @@
 package dunlinhitch.flow.http;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import java.util.Locale;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -10,7 +12,7 @@
  * The names of the header fields that a server reads. One instance serves all connections of the
  * server.
  */
-public final class KeptHeaders {
+public final class KeptHeaders implements HttpHeadersFactory {
   /** Fields that determine how a connection and the body of a request are read. */
   private static final Set<String> FRAMING =
       Set.of(
@@ -38,6 +40,16 @@
     return lowerCaseNames.contains(toLowerCase(name));
   }
 
+  @Override
+  public HttpHeaders newHeaders() {
+    return new RequestHeaders(this);
+  }
+
+  @Override
+  public HttpHeaders newEmptyHeaders() {
+    return new RequestHeaders(this);
+  }
+
   private static String toLowerCase(String name) {
     return name.toLowerCase(Locale.ROOT);
   }
--- a/src/main/java/dunlinhitch/flow/http/RequestDecoder.java
+++ b/src/main/java/dunlinhitch/flow/http/RequestDecoder.java
@@ -1,48 +1,68 @@
 package dunlinhitch.flow.http;
 
-import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.vertx.core.http.HttpServerOptions;
-import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import java.util.List;
 
 /**
- * Vert.x's request decoder, which decodes one message at a time, keeps only the header fields that
- * the broker reads, and protects against request smuggling. Netty ignores the Content-Length of a
- * chunked request, and treats an unknown transfer coding as no coding, so the bytes after such a
- * body may be a smuggled request (RFC 9112, 6.1 and 6.3). This decoder rejects such a message as
- * invalid and reads nothing after it. Netty itself rejects repeated and malformed lengths.
+ * Request decoder that decodes one message at a time, keeps only the header and trailer fields that
+ * the broker reads, buffers its input in the heap, and protects against request smuggling. Netty
+ * ignores the Content-Length of a chunked request, and treats an unknown transfer coding as no
+ * coding, so the bytes after such a body may be a smuggled request (RFC 9112, 6.1 and 6.3). This
+ * decoder rejects such a message as invalid and reads nothing after it. Netty itself rejects
+ * repeated and malformed lengths.
  */
-final class RequestDecoder extends VertxHttpRequestDecoder {
-  private final KeptHeaders keptHeaders;
-
+final class RequestDecoder extends HttpRequestDecoder {
   /**
    * Creates a decoder.
    *
    * @param keptHeaders the names of the header fields to keep
    */
   RequestDecoder(HttpServerOptions options, KeptHeaders keptHeaders) {
-    super(options);
-    this.keptHeaders = keptHeaders;
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(options.getMaxInitialLineLength())
+            .setMaxHeaderSize(options.getMaxHeaderSize())
+            .setMaxChunkSize(options.getMaxChunkSize())
+            .setInitialBufferSize(options.getDecoderInitialBufferSize())
+            .setHeadersFactory(keptHeaders)
+            .setTrailersFactory(keptHeaders));
+    setCumulator(RequestDecoder::append);
     setSingleDecode(true);
   }
 
+  /** Appends received bytes to those that are not decoded yet, in a heap buffer of their size. */
+  private static ByteBuf append(ByteBufAllocator allocator, ByteBuf undecoded, ByteBuf received) {
+    if (!received.isReadable()) {
+      received.release();
+      return undecoded;
+    }
+    if (!undecoded.isReadable()) {
+      undecoded.release();
+      return received;
+    }
+    int length = undecoded.readableBytes() + received.readableBytes();
+    ByteBuf all = Unpooled.buffer(length, length).writeBytes(undecoded).writeBytes(received);
+    undecoded.release();
+    received.release();
+    return all;
+  }
+
   /** Returns the number of bytes that were received and not decoded yet. */
   int bufferedBytes() {
     return actualReadableBytes();
   }
 
-  @Override
-  protected HttpMessage createMessage(String[] initialLine) {
-    HttpRequest request = (HttpRequest) super.createMessage(initialLine);
-    return new DefaultHttpRequest(
-        request.protocolVersion(),
-        request.method(),
-        request.uri(),
-        new RequestHeaders(keptHeaders));
+  /** Returns the size of the buffer that holds the undecoded bytes. */
+  int capacity() {
+    return actualReadableBytes() == 0 ? 0 : internalBuffer().capacity();
   }
 
   /** Netty calls this after the head is read and before the body. */
