What is received lies in the heap, is charged as it lies there, and is read by room

Cause: received bytes were kept in the socket's direct buffers, where a few bytes keep a chunk of the allocator; the decoder's buffer and answers were charged to nobody; and when memory became free, each of hundreds of waiting connections read up to 8 KB before any was charged.

Change: a connection keeps copies of the size of what came; the account has buffers with their overhead, the decoder's buffer, and an answer until it is written; a read takes no more than there is room for. The budget is an eighth of the heap, so that it follows the limit, and 4 KB a connection in any case in place of 8.

--- a/src/main/java/dunlinhitch/flow/BoundedReads.java
+++ b/src/main/java/dunlinhitch/flow/BoundedReads.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.RecvByteBufAllocator;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /**
  * Bounds what is read from one connection in one iteration of the event loop. Reading goes on until
@@ -26,23 +27,27 @@
   private final AdaptiveRecvByteBufAllocator sizes =
       new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES);
   private final BooleanSupplier wantsMore;
+  private final LongSupplier room;
 
-  private BoundedReads(BooleanSupplier wantsMore) {
+  private BoundedReads(BooleanSupplier wantsMore, LongSupplier room) {
     this.wantsMore = wantsMore;
+    this.room = room;
   }
 
   /** Bounds the reads of a connection. */
   public static void install(Channel channel) {
-    install(channel, () -> true);
+    install(channel, () -> true, () -> MAX_READ_BYTES);
   }
 
   /**
    * Bounds the reads of a connection.
    *
    * @param wantsMore returns whether to read on; asked after each read
+   * @param room returns the number of bytes that there is memory for; asked before each read, which
+   *     takes no more, but for a few bytes that show whether the connection has ended
    */
-  public static void install(Channel channel, BooleanSupplier wantsMore) {
-    channel.config().setRecvByteBufAllocator(new BoundedReads(wantsMore));
+  public static void install(Channel channel, BooleanSupplier wantsMore, LongSupplier room) {
+    channel.config().setRecvByteBufAllocator(new BoundedReads(wantsMore, room));
   }
 
   @Override
@@ -68,7 +73,8 @@
     @Override
     public ByteBuf allocate(ByteBufAllocator allocator) {
       reads++;
-      return delegate().allocate(allocator);
+      long bytes = Math.min(delegate().guess(), Math.max(MIN_READ_BYTES, room.getAsLong()));
+      return allocator.ioBuffer((int) bytes, (int) bytes);
     }
 
     @Override
--- a/src/main/java/dunlinhitch/flow/MemoryBudget.java
+++ b/src/main/java/dunlinhitch/flow/MemoryBudget.java
@@ -12,10 +12,10 @@
  */
 public final class MemoryBudget {
   /** What each connection may use in any case, in bytes. */
-  public static final int OWN_BYTES = 8 * 1024;
+  public static final int OWN_BYTES = 4 * 1024;
 
-  /** What all connections may use together beyond {@link #OWN_BYTES} each, in bytes. */
-  public static final int SHARED_BYTES = 8 * 1024 * 1024;
+  /** All connections may use this part of the heap together, beyond {@link #OWN_BYTES} each. */
+  public static final int SHARED_HEAP_DIVISOR = 8;
 
   /** Connections that wait for memory read on once this share of it is free. */
   private static final int FREE_DIVISOR = 8;
@@ -25,9 +25,9 @@
   private final Set<Runnable> waiting = new LinkedHashSet<>();
   private long sharedUsed;
 
-  /** Creates a budget of the standard size. */
+  /** Creates a budget for the heap of this process. */
   public MemoryBudget() {
-    this(OWN_BYTES, SHARED_BYTES);
+    this(OWN_BYTES, Runtime.getRuntime().maxMemory() / SHARED_HEAP_DIVISOR);
   }
 
   /**
--- a/src/main/java/dunlinhitch/flow/http/PacedReader.java
+++ b/src/main/java/dunlinhitch/flow/http/PacedReader.java
@@ -38,6 +38,9 @@
   /** No request is decoded while more than this many bytes of responses are not sent. */
   public static final int MAX_UNSENT_BYTES = 32 * 1024;
 
+  /** Memory of a buffer beside its bytes. */
+  private static final int BUFFER_OVERHEAD_BYTES = 128;
+
   private static final int RESUME_UNSENT_BYTES = 8 * 1024;
   private static final WriteBufferWaterMark UNSENT_BOUNDS =
       new WriteBufferWaterMark(RESUME_UNSENT_BYTES, MAX_UNSENT_BYTES);
@@ -81,6 +84,9 @@
   private ChannelHandlerContext context;
   private int bufferedBytes;
 
+  /** Memory of the decoder's buffer, as recorded in the account. */
+  private int decoderBytes;
+
   /** True if the decoder needs further bytes to decode a message. */
   private boolean decoderNeedsBytes = true;
 
@@ -135,7 +141,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     context = ctx;
-    BoundedReads.install(ctx.channel(), this::wantsMore);
+    BoundedReads.install(ctx.channel(), this::wantsMore, this::roomForRead);
     ctx.channel().config().setWriteBufferWaterMark(UNSENT_BOUNDS);
     read(ctx);
   }
@@ -154,9 +160,24 @@
       bytes.release();
       return;
     }
+    buffer(bytes);
+  }
+
+  /**
+   * Keeps a copy in the heap: the socket's buffer is part of a larger one, which could not be freed
+   * while a slow connection keeps a few bytes of it.
+   */
+  private void buffer(ByteBuf received) {
+    int length = received.readableBytes();
+    ByteBuf bytes = Unpooled.buffer(length, length).writeBytes(received);
+    received.release();
     buffered.add(bytes);
-    bufferedBytes += bytes.capacity();
-    memory.use(bytes.capacity());
+    bufferedBytes += sizeOf(bytes);
+    memory.use(sizeOf(bytes));
+  }
+
+  private static int sizeOf(ByteBuf bytes) {
+    return bytes.capacity() + BUFFER_OVERHEAD_BYTES;
   }
 
   @Override
@@ -184,6 +205,11 @@
     return !closed && (discarding || exchange.isRequestPending() || hasRoom());
   }
 
+  /** What is discarded is read at full speed. */
+  private long roomForRead() {
+    return closed || discarding ? BoundedReads.MAX_READ_BYTES : memory.room();
+  }
+
   private boolean hasRoom() {
     return bufferedBytes < MAX_BUFFERED_BYTES && memory.room() > 0;
   }
@@ -218,12 +244,18 @@
     // a decoder that has bytes left is made to continue by an empty read
     context.fireChannelRead(decoderNeedsBytes ? takeBuffered() : Unpooled.EMPTY_BUFFER);
     decoderNeedsBytes = exchange.messages() == messagesBefore || decoder.bufferedBytes() == 0;
+    recordDecoderMemory(decoder.capacity());
+  }
+
+  private void recordDecoderMemory(int bytes) {
+    memory.use((long) bytes - decoderBytes);
+    decoderBytes = bytes;
   }
 
   private ByteBuf takeBuffered() {
     ByteBuf bytes = buffered.poll();
-    bufferedBytes -= bytes.capacity();
-    memory.free(bytes.capacity());
+    bufferedBytes -= sizeOf(bytes);
+    memory.free(sizeOf(bytes));
     return bytes;
   }
 
--- a/src/main/java/dunlinhitch/frontend/http/HttpFrontend.java
+++ b/src/main/java/dunlinhitch/frontend/http/HttpFrontend.java
@@ -52,6 +52,10 @@
   private static final int INTERNAL_ERROR = 500;
   private static final int UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
+
+  /** A response is in memory as Vert.x's buffer and as the socket's. */
+  private static final int RESPONSE_COPIES = 2;
+
   private static final String TEXT = "text/plain";
   private static final double US_PER_SECOND = 1e6;
   private static final String REFUSED = "refused; trying again is harmless\n";
@@ -386,8 +390,11 @@
         .parts()
         .forEach(
             part -> parts.add(Json.object().add("range", part.shard()).add("blob", part.value())));
-    String body = Json.object().add("total", served.complete()).add("answers", parts).toString();
-    respond(request, OK, "application/json", Buffer.buffer(body), false);
+    Buffer body =
+        Buffer.buffer(
+            Json.object().add("total", served.complete()).add("answers", parts).toString());
+    connections.addMemory(request, (long) RESPONSE_COPIES * body.length());
+    respond(request, OK, "application/json", body, false);
   }
 
   private void writeRejected(HttpServerRequest request, QueryResponse.Rejected rejected) {
