Slow connections are read in rounds of their own, so that usual clients are served

Callers saw: usual queries not answered in time beside crowds.

Cause: each small write of hundreds of connections was read, decoded and counted as a message of a round, before and beside usual clients' whole requests: 600 connections that write every 10 to 30 ms take a core.

Change: a connection whose current request has come in more than 16 reads is visited in rounds of 16 connections, 4 ms apart, and is read only then; its small writes collect in the socket meanwhile. A request that awaits its answer is read as before, so that a client that leaves is seen.

Measured: FairSchedulerTest.slowConnectionsAreVisitedInRoundsOfTheirOwn fails with the bound cut.

--- a/src/main/java/dunlinhitch/flow/FairScheduler.java
+++ b/src/main/java/dunlinhitch/flow/FairScheduler.java
@@ -11,6 +11,10 @@
  * of the event loop. A connection with more messages goes to the back of the queue. Between two
  * rounds the loop does all of its other work: timers, writes, and reads of all connections.
  *
+ * <p>Slow connections have a queue and rounds of their own, which are a pause apart, and are read
+ * only when they are visited. Their small writes collect in the socket meanwhile, so that hundreds
+ * of them take a bounded share of the processor.
+ *
  * <p>Used on the event loop only.
  */
 public final class FairScheduler {
@@ -20,6 +24,12 @@
   /** Maximum number of messages of all connections in one iteration of the event loop. */
   public static final int MESSAGES_PER_ROUND = 32;
 
+  /** Maximum number of slow connections that are visited in one round. */
+  public static final int SLOW_VISITS_PER_ROUND = 16;
+
+  /** Pause between two rounds of slow connections, in milliseconds. */
+  static final int SLOW_ROUND_PAUSE_MS = 4;
+
   /** A connection that has received messages. */
   public interface Source {
     /**
@@ -32,6 +42,9 @@
 
     /** Returns true if another message can be handled now. */
     boolean isReady();
+
+    /** Reads on; called after a visit to a slow connection. */
+    void resumeReading();
   }
 
   /** The place of one connection in the queue. */
@@ -52,16 +65,31 @@
       }
     }
 
+    /** Queues a slow connection, unless it is queued already, and reads on after its visit. */
+    public void submitSlow() {
+      if (slowQueue.add(this)) {
+        scheduleSlowRound();
+      }
+    }
+
+    /** Returns true if the connection is read after its next visit. */
+    public boolean isReadingDeferred() {
+      return slowQueue.contains(this);
+    }
+
     /** Takes the connection out of the queue; called when the connection is closed. */
     public void release() {
       queued = false;
       queue.remove(this);
+      slowQueue.remove(this);
     }
   }
 
   private final EventExecutor loop;
   private final Set<Entry> queue = new LinkedHashSet<>();
+  private final Set<Entry> slowQueue = new LinkedHashSet<>();
   private boolean roundScheduled;
+  private boolean slowRoundScheduled;
   private boolean inRound;
 
   /** Creates a scheduler without connections. */
@@ -100,17 +128,40 @@
   private void visitConnections() {
     int left = MESSAGES_PER_ROUND;
     while (left > 0 && !queue.isEmpty()) {
-      Entry entry = takeFirst();
+      Entry entry = takeFirst(queue);
+      entry.queued = false;
       left -= Math.max(1, entry.source.handle(Math.min(left, MESSAGES_PER_VISIT)));
       entry.submit();
     }
   }
 
-  private Entry takeFirst() {
-    Iterator<Entry> entries = queue.iterator();
-    Entry first = entries.next();
-    entries.remove();
-    first.queued = false;
+  @SuppressWarnings("FutureReturnValueIgnored") // a round handles its own failures
+  private void scheduleSlowRound() {
+    if (!slowRoundScheduled) {
+      slowRoundScheduled = true;
+      loop.schedule(this::runSlowRound, SLOW_ROUND_PAUSE_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void runSlowRound() {
+    try {
+      for (int i = 0; i < SLOW_VISITS_PER_ROUND && !slowQueue.isEmpty(); i++) {
+        Entry entry = takeFirst(slowQueue);
+        entry.source.handle(MESSAGES_PER_VISIT);
+        entry.source.resumeReading();
+      }
+    } finally {
+      slowRoundScheduled = false;
+      if (!slowQueue.isEmpty()) {
+        scheduleSlowRound();
+      }
+    }
+  }
+
+  private static Entry takeFirst(Set<Entry> entries) {
+    Iterator<Entry> iterator = entries.iterator();
+    Entry first = iterator.next();
+    iterator.remove();
     return first;
   }
 }
--- a/src/main/java/dunlinhitch/flow/http/PacedReader.java
+++ b/src/main/java/dunlinhitch/flow/http/PacedReader.java
@@ -38,6 +38,9 @@
   /** No request is decoded while more than this many bytes of responses are not sent. */
   public static final int MAX_UNSENT_BYTES = 32 * 1024;
 
+  /** A connection is slow if the current request has come in more reads than this. */
+  static final int PROMPT_READS = 16;
+
   /** Memory of a buffer beside its bytes. */
   private static final int BUFFER_OVERHEAD_BYTES = 128;
 
@@ -87,6 +90,11 @@
   /** Memory of the decoder's buffer, as recorded in the account. */
   private int decoderBytes;
 
+  /** Number of reads that brought bytes of the current request. */
+  private int readsOfRequest;
+
+  private boolean bytesRead;
+
   /** True if the decoder needs further bytes to decode a message. */
   private boolean decoderNeedsBytes = true;
 
@@ -171,6 +179,7 @@
     int length = received.readableBytes();
     ByteBuf bytes = Unpooled.buffer(length, length).writeBytes(received);
     received.release();
+    bytesRead = true;
     buffered.add(bytes);
     bufferedBytes += sizeOf(bytes);
     memory.use(sizeOf(bytes));
@@ -182,7 +191,22 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
-    entry.submit();
+    readsOfRequest += bytesRead ? 1 : 0;
+    bytesRead = false;
+    if (isSlow()) {
+      entry.submitSlow();
+    } else {
+      entry.submit();
+      readIfRoom();
+    }
+  }
+
+  private boolean isSlow() {
+    return !closed && readsOfRequest > PROMPT_READS && !exchange.isRequestPending();
+  }
+
+  @Override
+  public void resumeReading() {
     readIfRoom();
   }
 
@@ -194,6 +218,9 @@
   }
 
   private void readIfRoom() {
+    if (entry.isReadingDeferred()) {
+      return;
+    }
     if (wantsMore()) {
       context.read();
     } else if (!closed && bufferedBytes < MAX_BUFFERED_BYTES) {
@@ -245,6 +272,9 @@
     context.fireChannelRead(decoderNeedsBytes ? takeBuffered() : Unpooled.EMPTY_BUFFER);
     decoderNeedsBytes = exchange.messages() == messagesBefore || decoder.bufferedBytes() == 0;
     recordDecoderMemory(decoder.capacity());
+    if (exchange.isRequestPending()) {
+      readsOfRequest = 0;
+    }
   }
 
   private void recordDecoderMemory(int bytes) {
@@ -260,6 +290,7 @@
   }
 
   private void onResponseEnd() {
+    readsOfRequest = 0;
     entry.submit();
   }
 
--- a/src/test/java/dunlinhitch/flow/FairSchedulerTest.java
+++ b/src/test/java/dunlinhitch/flow/FairSchedulerTest.java
@@ -42,6 +42,11 @@
     public boolean isReady() {
       return messages > 0;
     }
+
+    @Override
+    public void resumeReading() {
+      // this source reads nothing
+    }
   }
 
   /** Guards against a connection whose backlog delays the connections behind it. */
@@ -82,4 +87,27 @@
     channel.runPendingTasks();
     assertEquals(-1, handled.indexOf("released"));
   }
+
+  /** Guards against hundreds of slow connections that take the processor from usual clients. */
+  @Test
+  void slowConnectionsAreVisitedInRoundsOfTheirOwn() {
+    channel.freezeTime();
+    List<Backlog> slow = new ArrayList<>();
+    for (int i = 0; i <= FairScheduler.SLOW_VISITS_PER_ROUND; i++) {
+      Backlog backlog = new Backlog("slow", 0);
+      backlog.messages = 1;
+      backlog.entry.submitSlow();
+      slow.add(backlog);
+    }
+    new Backlog("prompt", 1);
+    channel.runPendingTasks();
+    assertEquals(List.of("prompt"), handled);
+    channel.advanceTimeBy(FairScheduler.SLOW_ROUND_PAUSE_MS, TimeUnit.MILLISECONDS);
+    channel.runScheduledPendingTasks();
+    assertEquals(1 + FairScheduler.SLOW_VISITS_PER_ROUND, handled.size());
+    assertEquals(true, slow.get(slow.size() - 1).entry.isReadingDeferred());
+    channel.advanceTimeBy(FairScheduler.SLOW_ROUND_PAUSE_MS, TimeUnit.MILLISECONDS);
+    channel.runScheduledPendingTasks();
+    assertEquals(1 + slow.size(), handled.size());
+  }
 }
