A slow connection is visited until its messages are handled

What callers would have seen: a request in many small pieces whose last read brought more than eight messages, such as chunks of one byte, was never completed, and got 503 after 2.5 s.

Cause: a visit handles eight messages; then the connection was only read on, and a client that has sent everything sends nothing more.

Change: a connection with more messages goes to the end of the slow queue and is not read before they are handled. A request that awaits its answer is read in any case, so that a client that leaves is seen in time.

Measured: FairSchedulerTest.aSlowConnectionIsVisitedUntilItsMessagesAreHandled.

--- a/src/main/java/dunlinhitch/flow/FairScheduler.java
+++ b/src/main/java/dunlinhitch/flow/FairScheduler.java
@@ -147,8 +147,7 @@
     try {
       for (int i = 0; i < SLOW_VISITS_PER_ROUND && !slowQueue.isEmpty(); i++) {
         Entry entry = takeFirst(slowQueue);
-        entry.source.handle(MESSAGES_PER_VISIT);
-        entry.source.resumeReading();
+        visitSlow(entry);
       }
     } finally {
       slowRoundScheduled = false;
@@ -158,6 +157,16 @@
     }
   }
 
+  /** A connection with more messages is not read before they are handled. */
+  private void visitSlow(Entry entry) {
+    entry.source.handle(MESSAGES_PER_VISIT);
+    if (entry.source.isReady()) {
+      slowQueue.add(entry);
+    } else {
+      entry.source.resumeReading();
+    }
+  }
+
   private static Entry takeFirst(Set<Entry> entries) {
     Iterator<Entry> iterator = entries.iterator();
     Entry first = iterator.next();
--- a/src/main/java/dunlinhitch/flow/http/PacedReader.java
+++ b/src/main/java/dunlinhitch/flow/http/PacedReader.java
@@ -218,7 +218,7 @@
   }
 
   private void readIfRoom() {
-    if (entry.isReadingDeferred()) {
+    if (entry.isReadingDeferred() && !exchange.isRequestPending()) {
       return;
     }
     if (wantsMore()) {
--- a/src/test/java/dunlinhitch/flow/FairSchedulerTest.java
+++ b/src/test/java/dunlinhitch/flow/FairSchedulerTest.java
@@ -110,4 +110,19 @@
     channel.runScheduledPendingTasks();
     assertEquals(1 + slow.size(), handled.size());
   }
+
+  /** Guards against the last messages of a slow request that are never handled. */
+  @Test
+  void aSlowConnectionIsVisitedUntilItsMessagesAreHandled() {
+    channel.freezeTime();
+    Backlog slow = new Backlog("slow", 0);
+    slow.messages = 2 * FairScheduler.MESSAGES_PER_VISIT + 1;
+    slow.entry.submitSlow();
+    for (int round = 0; round < 3; round++) {
+      channel.advanceTimeBy(FairScheduler.SLOW_ROUND_PAUSE_MS, TimeUnit.MILLISECONDS);
+      channel.runScheduledPendingTasks();
+    }
+    assertEquals(0, slow.messages);
+    assertEquals(false, slow.entry.isReadingDeferred());
+  }
 }
