FairScheduler derives whether a connection is queued; the order of eviction reads as it is

Behaviour is as before. The flag `queued` said what the queues say themselves, and had to be kept in step in three places; the queue of established connections has that name; KeptHeaders makes its two kinds of headers in one place.

--- a/src/main/java/dunlinhitch/flow/FairScheduler.java
+++ b/src/main/java/dunlinhitch/flow/FairScheduler.java
@@ -8,8 +8,9 @@
 
 /**
  * Handles the messages of many connections in rounds of bounded size, one round in each iteration
- * of the event loop. A connection with more messages goes to the back of the queue. Between two
- * rounds the loop does all of its other work: timers, writes, and reads of all connections.
+ * of the event loop. A connection with more messages goes to the back of the establishedQueue.
+ * Between two rounds the loop does all of its other work: timers, writes, and reads of all
+ * connections.
  *
  * <p>Established connections go first, because a crowd whose requests are refused at once comes
  * again on new ones; new connections keep a part of each round. Slow connections have a queue and
@@ -55,10 +56,9 @@
     void resumeReading();
   }
 
-  /** The place of one connection in the queue. */
+  /** The place of one connection in the establishedQueue. */
   public final class Entry {
     private final Source source;
-    private boolean queued;
 
     private Entry(Source source) {
       this.source = source;
@@ -66,13 +66,16 @@
 
     /** Queues the connection, unless it is queued already or has nothing to handle. */
     public void submit() {
-      if (!queued && source.isReady()) {
-        queued = true;
-        (source.isEstablished() ? queue : newQueue).add(this);
+      if (!isQueued() && source.isReady()) {
+        (source.isEstablished() ? establishedQueue : newQueue).add(this);
         scheduleRound();
       }
     }
 
+    private boolean isQueued() {
+      return establishedQueue.contains(this) || newQueue.contains(this);
+    }
+
     /** Queues a slow connection, unless it is queued already, and reads on after its visit. */
     public void submitSlow() {
       if (slowQueue.add(this)) {
@@ -85,17 +88,16 @@
       return slowQueue.contains(this);
     }
 
-    /** Takes the connection out of the queue; called when the connection is closed. */
+    /** Takes the connection out of all queues; called when the connection is closed. */
     public void release() {
-      queued = false;
-      queue.remove(this);
+      establishedQueue.remove(this);
       newQueue.remove(this);
       slowQueue.remove(this);
     }
   }
 
   private final EventExecutor loop;
-  private final Set<Entry> queue = new LinkedHashSet<>();
+  private final Set<Entry> establishedQueue = new LinkedHashSet<>();
   private final Set<Entry> newQueue = new LinkedHashSet<>();
   private final Set<Entry> slowQueue = new LinkedHashSet<>();
   private boolean roundScheduled;
@@ -127,7 +129,7 @@
       visitConnections();
     } finally {
       inRound = false;
-      if (!queue.isEmpty() || !newQueue.isEmpty()) {
+      if (!establishedQueue.isEmpty() || !newQueue.isEmpty()) {
         roundScheduled = true;
         // an immediate task would still run in this iteration of the loop
         loop.schedule(this::runRound, 0, TimeUnit.NANOSECONDS);
@@ -136,9 +138,11 @@
   }
 
   private void visitConnections() {
-    int left = visit(queue, MESSAGES_PER_ROUND, newQueue.isEmpty() ? 0 : NEW_MESSAGES_PER_ROUND);
+    int left =
+        visit(
+            establishedQueue, MESSAGES_PER_ROUND, newQueue.isEmpty() ? 0 : NEW_MESSAGES_PER_ROUND);
     left = visit(newQueue, left, 0);
-    visit(queue, left, 0);
+    visit(establishedQueue, left, 0);
   }
 
   /** Visits connections until {@code reserve} of the messages are left; returns what is left. */
@@ -146,7 +150,6 @@
     int left = messages;
     while (left > reserve && !entries.isEmpty()) {
       Entry entry = takeFirst(entries);
-      entry.queued = false;
       left -= Math.max(1, entry.source.handle(Math.min(left - reserve, MESSAGES_PER_VISIT)));
       entry.submit();
     }
@@ -164,8 +167,7 @@
   private void runSlowRound() {
     try {
       for (int i = 0; i < SLOW_VISITS_PER_ROUND && !slowQueue.isEmpty(); i++) {
-        Entry entry = takeFirst(slowQueue);
-        visitSlow(entry);
+        visitSlow(takeFirst(slowQueue));
       }
     } finally {
       slowRoundScheduled = false;
--- a/src/main/java/dunlinhitch/flow/http/KeptHeaders.java
+++ b/src/main/java/dunlinhitch/flow/http/KeptHeaders.java
@@ -47,7 +47,7 @@
 
   @Override
   public HttpHeaders newEmptyHeaders() {
-    return new RequestHeaders(this);
+    return newHeaders();
   }
 
   private static String toLowerCase(String name) {
--- a/src/main/java/dunlinhitch/frontend/http/ClientConnections.java
+++ b/src/main/java/dunlinhitch/frontend/http/ClientConnections.java
@@ -167,10 +167,10 @@
   }
 
   /**
-   * Evicts the connection whose loss is least harmful: a connection that never sent anything if
+   * Evicts the connection whose loss is least harmful: a connection that has long sent nothing if
    * there is one, else the one whose request has been incomplete for longest and longer than a
-   * usual client takes, else the connection that has been idle for longest, else a connection with
-   * an incomplete request.
+   * usual client takes, else the connection that has been idle for longest, else a connection that
+   * was accepted just now, else one whose request has just begun.
    */
   private boolean evictOne() {
     long nowUs = clock.getAsLong();
