Experiments have one crowd, one reader of a process's memory and one of the deploy file

PacedCrowd was Crowd once more, with pauses and scripts: it takes Crowd's place, and the flood and the soak give it the script of their incomplete requests (RequestGrammar .incomplete returns one). ProcessStatus, TestBed.Node.suspiciousLines, RequestGrammar.fields and BrokerLaunch.readDeployCommand each stand in for two copies. TestBed names the configuration by $ROUTER_CONFIG alone, as the platform does, in place of that and an option for some launches.

--- a/src/main/java/dunlinhitch/experiments/memory/ClientScript.java
+++ b/src/main/java/dunlinhitch/experiments/flood/ClientScript.java
@@ -1,4 +1,6 @@
-package dunlinhitch.experiments.memory;
+package dunlinhitch.experiments.flood;
+
+import java.nio.charset.StandardCharsets;
 
 /**
  * What one connection of a crowd sends.
@@ -9,28 +11,29 @@
  * @param readsAnswers whether the client reads what the broker sends
  */
 @SuppressWarnings("ArrayRecordComponent") // never modified or compared
-record ClientScript(byte[] opening, byte[] repeated, int bytesPerWrite, boolean readsAnswers) {
+public record ClientScript(
+    byte[] opening, byte[] repeated, int bytesPerWrite, boolean readsAnswers) {
   /** A script that sends a text at full speed, then stops and stays. */
-  static ClientScript atOnce(String text) {
+  public static ClientScript atOnce(String text) {
     return new ClientScript(bytes(text), new byte[0], Integer.MAX_VALUE, true);
   }
 
   /** A script that sends a text in small writes, then stops and stays. */
-  static ClientScript slowly(String text, int bytesPerWrite) {
+  public static ClientScript slowly(String text, int bytesPerWrite) {
     return new ClientScript(bytes(text), new byte[0], bytesPerWrite, true);
   }
 
   /** A script that sends a text and then repeats another one, one copy in each write. */
-  static ClientScript endlessly(String opening, String repeated) {
+  public static ClientScript endlessly(String opening, String repeated) {
     return new ClientScript(bytes(opening), bytes(repeated), repeated.length(), true);
   }
 
   /** The same script of a client that never reads. */
-  ClientScript withoutReading() {
+  public ClientScript withoutReading() {
     return new ClientScript(opening, repeated, bytesPerWrite, false);
   }
 
   private static byte[] bytes(String text) {
-    return text.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
+    return text.getBytes(StandardCharsets.ISO_8859_1);
   }
 }
--- a/src/main/java/dunlinhitch/experiments/flood/FloodRun.java
+++ b/src/main/java/dunlinhitch/experiments/flood/FloodRun.java
@@ -2,10 +2,10 @@
 
 import dunlinhitch.experiments.fakes.FrameStore;
 import dunlinhitch.experiments.testbed.BrokerLaunch;
+import dunlinhitch.experiments.testbed.ProcessStatus;
 import dunlinhitch.experiments.testbed.TestBed;
 import dunlinhitch.experiments.testbed.TestBedPlan;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -48,9 +48,6 @@
           "-Dio.netty.allocator.numHeapArenas=1",
           "--add-opens=java.base/java.nio=ALL-UNNAMED");
 
-  private static final List<String> SUSPICIOUS =
-      List.of("OutOfMemoryError", "Exception", "fault:", "has been blocked");
-
   private final Trouble trouble;
   private final int offenders;
   private final long seed;
@@ -134,12 +131,8 @@
       return;
     }
     if (trouble.isCrowd()) {
-      crowd =
-          new Crowd(
-              node.httpPort,
-              CROWD_SIZE,
-              trouble,
-              new RequestGrammar(seed, "c", QUERY_CLASS, SHARDS));
+      RequestGrammar grammar = new RequestGrammar(seed, "c", QUERY_CLASS, SHARDS);
+      crowd = new Crowd(node.httpPort, CROWD_SIZE, () -> grammar.incomplete(trouble));
       crowd.start();
       return;
     }
@@ -158,7 +151,7 @@
       flood.close();
     }
     if (crowd != null) {
-      crowd.end();
+      crowd.close();
     }
   }
 
@@ -168,8 +161,6 @@
         count(outcomes, FairClient.End.LATE)
             + count(outcomes, FairClient.End.UNANSWERED)
             + count(outcomes, FairClient.End.FAILED);
-    List<String> suspicious =
-        node.lines().stream().filter(line -> SUSPICIOUS.stream().anyMatch(line::contains)).toList();
     return new FloodReport(
         outcomes.size(),
         count(outcomes, FairClient.End.SERVED),
@@ -178,23 +169,13 @@
         count(outcomes, FairClient.End.CLOSED),
         outcomes.stream().mapToLong(FairClient.Outcome::latencyUs).max().orElse(0) / 1_000,
         longestPageMs,
-        peakMemoryKb(node.processId()),
+        ProcessStatus.peakResidentKb(node.processId()),
         floods.stream().mapToLong(FloodClient::connections).sum(),
         floods.stream().mapToLong(FloodClient::bytesRead).sum(),
-        suspicious);
+        node.suspiciousLines());
   }
 
   private static int count(List<FairClient.Outcome> outcomes, FairClient.End end) {
     return (int) outcomes.stream().filter(outcome -> outcome.end() == end).count();
   }
-
-  /** Returns the largest resident memory of a process, from the operating system. */
-  private static long peakMemoryKb(long processId) throws IOException {
-    Path status = Path.of("/proc", Long.toString(processId), "status");
-    return Files.readAllLines(status).stream()
-        .filter(line -> line.startsWith("VmHWM:"))
-        .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
-        .findFirst()
-        .orElse(0);
-  }
 }
--- a/src/main/java/dunlinhitch/experiments/flood/RequestGrammar.java
+++ b/src/main/java/dunlinhitch/experiments/flood/RequestGrammar.java
@@ -48,9 +48,9 @@
     return text.getBytes(StandardCharsets.ISO_8859_1);
   }
 
-  /** Returns the incomplete request of a connection of a crowd. */
-  byte[] incomplete(Trouble trouble) {
-    String fields = fields(MANY_FIELDS);
+  /** Returns what a connection of a crowd sends: an incomplete request. */
+  public ClientScript incomplete(Trouble trouble) {
+    String fields = fields(MANY_FIELDS, 1);
     String head = "POST /" + queryClass + " HTTP/1.1\r\nHost: x\r\nX-Trace-Id: " + id() + "\r\n";
     String length = "Content-Length: " + LARGE_BODY_BYTES + "\r\n";
     String text =
@@ -61,13 +61,14 @@
           case CROWD_IN_BODY -> head + length + "\r\n" + " ".repeat(LARGE_BODY_BYTES / 2);
           default -> head;
         };
-    return text.getBytes(StandardCharsets.ISO_8859_1);
+    return ClientScript.atOnce(text);
   }
 
   private String mixed() {
     return switch (random.nextInt(12)) {
       case 0, 1, 2 -> query();
-      case 3 -> "GET /" + word() + " HTTP/1.1\r\nHost: x\r\n" + fields(random.nextInt(20)) + "\r\n";
+      case 3 ->
+          "GET /" + word() + " HTTP/1.1\r\nHost: x\r\n" + fields(random.nextInt(20), 1) + "\r\n";
       case 4 -> "GET /stats HTTP/1.1\r\nHost: x\r\n\r\n";
       case 5 -> post("/slot-booking", "X-Trace-Id: " + id() + "\r\n", "{\"ranges\":[]}");
       case 6 -> post("/" + queryClass, "X-Trace-Id: " + id() + "\r\nX-Expires-In: soon\r\n", "{}");
@@ -116,10 +117,12 @@
         + body;
   }
 
-  private String fields(int count) {
+  /** Returns header fields with short names. */
+  public static String fields(int count, int valueBytes) {
     StringBuilder text = new StringBuilder();
     for (int i = 0; i < count; i++) {
-      text.append(String.format(Locale.ROOT, "a%03d: b\r\n", i));
+      text.append(String.format(Locale.ROOT, "a%03d: ", i)).append("b".repeat(valueBytes));
+      text.append("\r\n");
     }
     return text.toString();
   }
--- a/src/main/java/dunlinhitch/experiments/memory/CrowdShape.java
+++ b/src/main/java/dunlinhitch/experiments/memory/CrowdShape.java
@@ -1,5 +1,8 @@
 package dunlinhitch.experiments.memory;
 
+import static dunlinhitch.experiments.flood.RequestGrammar.fields;
+
+import dunlinhitch.experiments.flood.ClientScript;
 import java.util.function.Function;
 
 /** What the connections of a crowd send. */
@@ -68,12 +71,4 @@
   ClientScript next(CrowdRequests requests) {
     return scripts.apply(requests);
   }
-
-  private static String fields(int count, int valueBytes) {
-    StringBuilder text = new StringBuilder();
-    for (int i = 0; i < count; i++) {
-      text.append('a').append(i % 1_000).append(": ").append("b".repeat(valueBytes)).append("\r\n");
-    }
-    return text.toString();
-  }
 }
--- a/src/main/java/dunlinhitch/experiments/memory/MemoryRun.java
+++ b/src/main/java/dunlinhitch/experiments/memory/MemoryRun.java
@@ -1,6 +1,8 @@
 package dunlinhitch.experiments.memory;
 
 import dunlinhitch.experiments.fakes.FrameStore;
+import dunlinhitch.experiments.flood.ClientScript;
+import dunlinhitch.experiments.flood.Crowd;
 import dunlinhitch.experiments.flood.FairClient;
 import dunlinhitch.experiments.flood.RequestGrammar;
 import dunlinhitch.experiments.testbed.BrokerLaunch;
@@ -25,8 +27,6 @@
   private static final int USUAL_CLIENTS = 3;
   private static final int USUAL_TIME_MS = 1_000;
   private static final int ANSWER_DELAY_MS = 2;
-  private static final List<String> SUSPICIOUS =
-      List.of("OutOfMemoryError", "Exception", "fault:", "has been blocked");
 
   /** Time for which the broker runs in a crowd until it is killed. */
   private static final int KILL_AFTER_MS = 2_000;
@@ -76,7 +76,7 @@
   static void play(MemoryPlan plan, Path directory, Consumer<MemoryReport> results)
       throws Exception {
     try (MemoryRun run = new MemoryRun(plan, directory)) {
-      run.testBed.start(run.testBed.nodes());
+      run.start();
       for (CrowdShape shape : plan.shapes()) {
         results.accept(run.beside(shape.name(), run.scripts(shape)));
       }
@@ -100,8 +100,8 @@
     return () -> shapes[draws.nextInt(shapes.length)].next(requests);
   }
 
-  private PacedCrowd crowd(Supplier<ClientScript> scripts) {
-    return new PacedCrowd(
+  private Crowd crowd(Supplier<ClientScript> scripts) {
+    return new Crowd(
         node.httpPort,
         plan.crowdSize(),
         scripts,
@@ -113,7 +113,7 @@
   private MemoryReport beside(String name, Supplier<ClientScript> scripts) throws Exception {
     List<FairClient> clients = startUsualClients();
     try (ProcessMemory memory = new ProcessMemory(node.processId(), node.scratchFolder());
-        PacedCrowd crowd = crowd(scripts)) {
+        Crowd crowd = crowd(scripts)) {
       memory.start();
       crowd.start();
       TimeUnit.SECONDS.sleep(plan.seconds());
@@ -123,7 +123,7 @@
 
   /** The crowd connects before the process listens, and again as soon as the process is killed. */
   private MemoryReport startedInCrowd() throws Exception {
-    try (PacedCrowd crowd = crowd(mixedScripts())) {
+    try (Crowd crowd = crowd(mixedScripts())) {
       crowd.start();
       start();
       TimeUnit.MILLISECONDS.sleep(KILL_AFTER_MS);
@@ -154,7 +154,7 @@
   }
 
   private MemoryReport report(
-      String name, ProcessMemory memory, List<FairClient> clients, PacedCrowd crowd)
+      String name, ProcessMemory memory, List<FairClient> clients, Crowd crowd)
       throws InterruptedException {
     int asked = 0;
     int served = 0;
@@ -171,13 +171,7 @@
         served,
         crowd.connections(),
         node.isUp(),
-        suspiciousLines());
-  }
-
-  private List<String> suspiciousLines() {
-    return node.lines().stream()
-        .filter(line -> SUSPICIOUS.stream().anyMatch(line::contains))
-        .toList();
+        node.suspiciousLines());
   }
 
   @Override
--- a/src/main/java/dunlinhitch/experiments/memory/ProcessMemory.java
+++ b/src/main/java/dunlinhitch/experiments/memory/ProcessMemory.java
@@ -1,5 +1,6 @@
 package dunlinhitch.experiments.memory;
 
+import dunlinhitch.experiments.testbed.ProcessStatus;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -51,14 +52,9 @@
   }
 
   private long residentKb() {
-    Path status = Path.of("/proc", Long.toString(processId), "status");
-    try (Stream<String> lines = Files.lines(status)) {
-      return lines
-          .filter(line -> line.startsWith("VmRSS:"))
-          .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
-          .findFirst()
-          .orElse(0);
-    } catch (IOException | UncheckedIOException e) {
+    try {
+      return ProcessStatus.residentKb(processId);
+    } catch (IOException e) {
       return 0; // the process has ended
     }
   }
--- a/src/main/java/dunlinhitch/experiments/soak/SoakRun.java
+++ b/src/main/java/dunlinhitch/experiments/soak/SoakRun.java
@@ -199,10 +199,10 @@
   private void beginCrowd(SoakFault fault, TestBed.Node node) {
     Trouble trouble =
         fault.store() % 2 == 0 ? Trouble.CROWD_FIELDS_AND_BODY : Trouble.CROWD_IN_BODY;
-    Crowd crowd =
-        new Crowd(node.httpPort, CROWD_SIZE, trouble, grammar(fault, "crowd" + fault.atMs()));
+    RequestGrammar grammar = grammar(fault, "crowd" + fault.atMs());
+    Crowd crowd = new Crowd(node.httpPort, CROWD_SIZE, () -> grammar.incomplete(trouble));
     crowd.start();
-    schedule(crowd::end, fault.forMs());
+    schedule(crowd::close, fault.forMs());
   }
 
   private RequestGrammar grammar(SoakFault fault, String idPrefix) {
--- a/src/main/java/dunlinhitch/experiments/testbed/BrokerLaunch.java
+++ b/src/main/java/dunlinhitch/experiments/testbed/BrokerLaunch.java
@@ -49,16 +49,19 @@
    */
   public static BrokerLaunch deployed(List<String> prefix, int sockets, int memoryMb)
       throws IOException {
-    String run =
-        Files.readAllLines(DEPLOY_FILE).stream()
-            .filter(line -> line.startsWith(RUN))
-            .map(line -> line.substring(RUN.length(), line.lastIndexOf("\"   #")))
-            .findFirst()
-            .orElseThrow(() -> new IOException(DEPLOY_FILE + " has no command"));
-    return new BrokerLaunch(prefix, List.of(), true, sockets, memoryMb, run);
+    return new BrokerLaunch(prefix, List.of(), true, sockets, memoryMb, readDeployCommand());
   }
 
-  /** Returns the command that starts a broker, apart from options for its configuration. */
+  /** Reads the command that starts a broker from the deploy file. */
+  public static String readDeployCommand() throws IOException {
+    return Files.readAllLines(DEPLOY_FILE).stream()
+        .filter(line -> line.startsWith(RUN))
+        .map(line -> line.substring(RUN.length(), line.lastIndexOf("\"   #")))
+        .findFirst()
+        .orElseThrow(() -> new IOException(DEPLOY_FILE + " has no command"));
+  }
+
+  /** Returns the command that starts a broker; its configuration file is {@code $ROUTER_CONFIG}. */
   List<String> command() {
     List<String> command = new ArrayList<>(prefix);
     if (deployCommand.isEmpty()) {
--- a/src/main/java/dunlinhitch/experiments/testbed/TestBed.java
+++ b/src/main/java/dunlinhitch/experiments/testbed/TestBed.java
@@ -38,6 +38,9 @@
   /** Maximum number of output lines that are retained for each broker. */
   private static final int MAX_OUTPUT_LINES = 4_000;
 
+  private static final List<String> SUSPICIOUS =
+      List.of("OutOfMemoryError", "Exception", "fault:", "has been blocked");
+
   /** One broker process with its own discovery and proxies. */
   public final class Node {
     public final String name;
@@ -92,6 +95,11 @@
       }
     }
 
+    /** Returns the output lines that tell of refused memory, unhandled errors or a stalled loop. */
+    public List<String> suspiciousLines() {
+      return lines().stream().filter(line -> SUSPICIOUS.stream().anyMatch(line::contains)).toList();
+    }
+
     /** Returns the latest output line about the cluster and the broker's subset, or empty. */
     public String fleetLine() {
       List<String> all = lines();
@@ -138,9 +146,6 @@
       Path config = workingDirectory.resolve("config.json");
       Files.writeString(config, configText());
       List<String> command = new ArrayList<>(plan.launch().command());
-      if (plan.launch().deployCommand().isEmpty()) {
-        command.addAll(List.of("--config", config.toString()));
-      }
       if (plan.cluster() != null) {
         Path conf = workingDirectory.resolve("dunlinhitch.conf");
         Files.writeString(conf, clusterSection() + plan.cluster());
--- a/src/test/java/dunlinhitch/cli/SighupTest.java
+++ b/src/test/java/dunlinhitch/cli/SighupTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dunlinhitch.experiments.fakes.Discovery;
+import dunlinhitch.experiments.testbed.BrokerLaunch;
 import io.vertx.core.Vertx;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
@@ -60,11 +61,7 @@
    */
   @Test
   void reloadsOnSighupWhenStartedByNohup() throws Exception {
-    String run =
-        Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-            .filter(line -> line.startsWith("run = "))
-            .findFirst()
-            .orElseThrow();
+    String run = BrokerLaunch.readDeployCommand();
     String before = run.substring(run.indexOf("exec ") + 5, run.indexOf("sh deploy/serve.sh"));
     Vertx vertx = Vertx.vertx();
     try (Discovery discovery = new Discovery(vertx)) {
