Tests of the frontend alone share how it listens; the least memory limit has a test

ListeningFrontend stands in for three copies of the same start, connection and end; the assertions are as before. New: a limit below the one that deploy/serve.sh plans with is CONFIG_MEMORY_TOO_SMALL, and the two constants are tied to each other; before, nothing tested either.

--- a/src/test/java/dunlinhitch/cli/DeployCommandTest.java
+++ b/src/test/java/dunlinhitch/cli/DeployCommandTest.java
@@ -1,11 +1,15 @@
 package dunlinhitch.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dunlinhitch.config.Config.ConfigException;
+import dunlinhitch.config.ConfigFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -91,6 +95,35 @@
         options("{\"limits\":{\"sockets\":1024}}"));
   }
 
+  /** Guards against a start with less memory than the command plans with. */
+  @Test
+  void aLimitBelowTheLeastOneIsAnError() throws Exception {
+    int leastMb = constant("LEAST_MB");
+    readConfig(leastMb);
+    ConfigException failure = assertThrows(ConfigException.class, () -> readConfig(leastMb - 1));
+    assertTrue(
+        failure
+            .getMessage()
+            .contains(
+                "CONFIG_MEMORY_TOO_SMALL: limits.memory_mb must be at least "
+                    + leastMb
+                    + ", not "
+                    + (leastMb - 1)),
+        failure.getMessage());
+  }
+
+  private void readConfig(int memoryMb) throws Exception {
+    Path file = directory.resolve("limited.json");
+    Files.writeString(
+        file,
+        "{\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\",\"limits\":{\"memory_mb\":"
+            + memoryMb
+            + "},\"settings\":{\"Classes\":[{\"Name\":\"a\",\"OnTimeUs\":1000,"
+            + "\"DeadlineUs\":2000,\"Idempotency\":\"free\"}],"
+            + "\"Limits\":{\"MaxAttempts\":4},\"FailureDomains\":[\"x\"]}}");
+    new ConfigFile(file, directory.resolve("none"), Map.of()).read();
+  }
+
   /** Guards against two processes of a hot restart that together pass the limit of the broker. */
   @Test
   void processesOfAHotRestartShareTheLimit() throws Exception {
--- a/src/test/java/dunlinhitch/frontend/http/EvictionTest.java
+++ b/src/test/java/dunlinhitch/frontend/http/EvictionTest.java
@@ -3,15 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dunlinhitch.experiments.fakes.BrokerFixture;
 import dunlinhitch.frontend.Exchanges;
-import dunlinhitch.frontend.QueryReader;
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
-import java.net.InetAddress;
 import java.net.Socket;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -26,50 +19,31 @@
   private static final long SLOW_US = 600_000;
 
   private final AtomicLong clockUs = new AtomicLong();
-  private Vertx vertx;
-  private HttpFrontend frontend;
-  private int port;
+  private ListeningFrontend listening;
 
   @BeforeEach
   void setUp() throws Exception {
     ClientListener listener = new ClientListener(null);
-    vertx =
-        Vertx.builder()
-            .withTransport(listener)
-            .with(new VertxOptions().setEventLoopPoolSize(1))
-            .build();
-    CompletableFuture<Integer> bound = new CompletableFuture<>();
-    vertx.runOnContext(
-        v -> {
-          frontend =
-              new HttpFrontend(
-                  vertx,
-                  new Exchanges(event -> {}),
-                  new QueryReader(() -> BrokerFixture.settings(300)),
-                  event -> {},
-                  clockUs::get,
-                  () -> MAX_CONNECTIONS,
-                  () -> true,
-                  () -> "",
-                  listener,
-                  24);
-          frontend
-              .listen("127.0.0.1", 0)
-              .onSuccess(bound::complete)
-              .onFailure(bound::completeExceptionally);
-        });
-    port = bound.get(5, TimeUnit.SECONDS);
+    listening =
+        new ListeningFrontend(
+            listener,
+            loop ->
+                new HttpFrontend(
+                    loop,
+                    new Exchanges(event -> {}),
+                    ListeningFrontend.READER,
+                    event -> {},
+                    clockUs::get,
+                    () -> MAX_CONNECTIONS,
+                    () -> true,
+                    () -> "",
+                    listener,
+                    ListeningFrontend.MAX_DESCRIPTORS));
   }
 
   @AfterEach
   void tearDown() throws Exception {
-    vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
-  }
-
-  private Socket connect() throws Exception {
-    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
-    socket.setSoTimeout(5_000);
-    return socket;
+    listening.close();
   }
 
   private static void ask(Socket socket) throws Exception {
@@ -80,13 +54,13 @@
   /** Guards against a crowd in half a body that ends usual clients between two queries. */
   @Test
   void slowRequestIsEvictedBeforeIdleConnection() throws Exception {
-    try (Socket usual = connect();
-        Socket slow = connect()) {
+    try (Socket usual = listening.connect();
+        Socket slow = listening.connect()) {
       HttpText.write(slow, HALF_OF_BODY);
       ask(usual); // both are accepted in order, so this one is read after the other
       clockUs.addAndGet(SLOW_US);
       ask(usual);
-      try (Socket other = connect()) {
+      try (Socket other = listening.connect()) {
         ask(other);
         ask(usual);
         assertEquals("HTTP/1.1 503 ", HttpText.readResponse(slow).substring(0, 13));
--- a/src/test/java/dunlinhitch/frontend/http/FairShareTest.java
+++ b/src/test/java/dunlinhitch/frontend/http/FairShareTest.java
@@ -2,16 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dunlinhitch.experiments.fakes.BrokerFixture;
 import dunlinhitch.frontend.Exchanges;
-import dunlinhitch.frontend.QueryReader;
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
-import java.net.InetAddress;
 import java.net.Socket;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,40 +18,31 @@
   /** Number of requests of the pipeline that were handled. */
   private final AtomicInteger handled = new AtomicInteger();
 
-  private Vertx vertx;
-  private int port;
+  private ListeningFrontend listening;
 
   @BeforeEach
   void setUp() throws Exception {
     ClientListener listener = new ClientListener(null);
-    vertx =
-        Vertx.builder()
-            .withTransport(listener)
-            .with(new VertxOptions().setEventLoopPoolSize(1))
-            .build();
-    CompletableFuture<Integer> bound = new CompletableFuture<>();
-    vertx.runOnContext(
-        v ->
-            new HttpFrontend(
-                    vertx,
+    listening =
+        new ListeningFrontend(
+            listener,
+            loop ->
+                new HttpFrontend(
+                    loop,
                     new Exchanges(event -> {}),
-                    new QueryReader(() -> BrokerFixture.settings(300)),
+                    ListeningFrontend.READER,
                     event -> handled.incrementAndGet(),
                     () -> System.nanoTime() / 1_000,
                     () -> 20,
                     () -> handled.incrementAndGet() > 0,
                     () -> "handled " + handled.get(),
                     listener,
-                    24)
-                .listen("127.0.0.1", 0)
-                .onSuccess(bound::complete)
-                .onFailure(bound::completeExceptionally));
-    port = bound.get(5, TimeUnit.SECONDS);
+                    ListeningFrontend.MAX_DESCRIPTORS));
   }
 
   @AfterEach
   void tearDown() throws Exception {
-    vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    listening.close();
   }
 
   /**
@@ -78,7 +62,7 @@
     CountDownLatch released = new CountDownLatch(1);
     try (Socket pipeline = connect();
         Socket single = connect()) {
-      vertx.runOnContext(
+      listening.vertx.runOnContext(
           v -> {
             blocked.countDown();
             awaitUninterruptibly(released);
@@ -98,8 +82,7 @@
 
   /** Opens a connection that the event loop has accepted and answered on once. */
   private Socket connect() throws Exception {
-    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
-    socket.setSoTimeout(5_000);
+    Socket socket = listening.connect();
     HttpText.write(socket, "GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n");
     HttpText.readResponse(socket);
     return socket;
--- a/src/test/java/dunlinhitch/frontend/http/HttpFrontendTimingTest.java
+++ b/src/test/java/dunlinhitch/frontend/http/HttpFrontendTimingTest.java
@@ -5,13 +5,10 @@
 
 import dunlinhitch.core.Event;
 import dunlinhitch.core.QueryResponse;
-import dunlinhitch.experiments.fakes.BrokerFixture;
 import dunlinhitch.experiments.fakes.Client;
 import dunlinhitch.frontend.Exchanges;
-import dunlinhitch.frontend.QueryReader;
 import io.netty.channel.EventLoopGroup;
 import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
 import io.vertx.core.internal.VertxInternal;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -40,46 +37,35 @@
   /** Remaining number of accept calls that will fail. */
   private final AtomicInteger failingAccepts = new AtomicInteger();
 
+  private ListeningFrontend listening;
   private Vertx vertx;
   private HttpFrontend frontend;
-  private int port;
 
   @BeforeEach
   void setUp() throws Exception {
     ClientListener listener = new ClientListener(null, this::accept);
-    vertx =
-        Vertx.builder()
-            .withTransport(listener)
-            .with(new VertxOptions().setEventLoopPoolSize(1))
-            .build();
-    io.vertx.core.Context context = vertx.getOrCreateContext();
-    java.util.concurrent.CompletableFuture<Integer> bound =
-        new java.util.concurrent.CompletableFuture<>();
-    context.runOnContext(
-        v -> {
-          frontend =
-              new HttpFrontend(
-                  vertx,
-                  exchanges,
-                  new QueryReader(() -> BrokerFixture.settings(300)),
-                  events::add,
-                  nowUs::get,
-                  () -> 20,
-                  () -> true,
-                  () -> "",
-                  listener,
-                  24);
-          frontend
-              .listen("127.0.0.1", 0)
-              .onSuccess(bound::complete)
-              .onFailure(bound::completeExceptionally);
-        });
-    port = bound.get(5, TimeUnit.SECONDS);
+    listening =
+        new ListeningFrontend(
+            listener,
+            loop ->
+                new HttpFrontend(
+                    loop,
+                    exchanges,
+                    ListeningFrontend.READER,
+                    events::add,
+                    nowUs::get,
+                    () -> 20,
+                    () -> true,
+                    () -> "",
+                    listener,
+                    ListeningFrontend.MAX_DESCRIPTORS));
+    vertx = listening.vertx;
+    frontend = listening.frontend;
   }
 
   @AfterEach
   void tearDown() throws Exception {
-    vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    listening.close();
   }
 
   private SocketChannel accept(ServerSocketChannel listener) throws IOException {
@@ -90,9 +76,7 @@
   }
 
   private Socket connect() throws IOException {
-    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
-    socket.setSoTimeout(5_000);
-    return socket;
+    return listening.connect();
   }
 
   private static String post(String id) {
@@ -455,7 +439,7 @@
         try (Socket next =
             new Socket(
                 InetAddress.getLoopbackAddress(),
-                port)) { // may connect or be refused until the listener is closed
+                listening.port)) { // may connect or be refused until the listener is closed
           assertTrue(next.isConnected());
         } catch (java.net.ConnectException closed) {
           break;
