A broker has room for the classes of Flight, whoever names a Flight store

Callers would have seen: with stores that speak Arrow Flight in discovery's list, the first query fails and none is served from there on.

Cause: the script bounded metaspace at 14 MB, which the plan counts, and at 30 where the product's file has [flight]. A store of the list that speaks Flight needs no such section, and Arrow and gRPC load 16 MB of classes: OutOfMemoryError: Metaspace. Also, with [flight] and a limit below 120 MB -Xms was above -Xmx, and the JVM did not start.

Change: metaspace and compiled code have the bounds of before the plan, 48 and 24 MB, which are against leaks; the plan counts what they take. The heap has 16 MB less where the configuration's list names Flight, as with [flight], and never below 24.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -5,18 +5,20 @@
 
 # Memory beside heap and direct memory, with the distance that is kept to the limit, in MB.
 OTHER_MB=80
-# Metaspace in MB, and what Arrow Flight adds to it and to OTHER_MB.
-METASPACE_MB=14
+# What the classes of Arrow Flight add to OTHER_MB, which are in no archive.
 FLIGHT_MB=16
 # Direct memory in MB: this, and an eighth of what the limit has above LEAST_MB.
 DIRECT_MB=8
 LEAST_MB=112
+# The least heap in MB: what a limit of LEAST_MB leaves.
+LEAST_HEAP_MB=24
 # Distance that is kept to the limit, in MB; part of OTHER_MB.
 RESERVE_MB=16
 # The limit that is assumed if the configuration has none, in MB.
 DEFAULT_MB=192
 
 memory_mb=$DEFAULT_MB
+flight_mb=0
 set -f
 while IFS= read -r line || [ -n "$line" ]; do
   IFS='{},'
@@ -29,7 +31,9 @@
         value=${value#"${value%%[0-9]*}"}
         value=${value%%[!0-9]*}
         [ -n "$value" ] && memory_mb=$value
-        break 2
+        ;;
+      *'"protocol"'*:*'"flight"'*)
+        flight_mb=$FLIGHT_MB
         ;;
     esac
   done
@@ -43,25 +47,25 @@
 # below the least limit the program itself ends with an error
 [ "$memory_mb" -lt "$LEAST_MB" ] && memory_mb=$LEAST_MB
 direct_mb=$((DIRECT_MB + (memory_mb - LEAST_MB) / 8))
-heap_mb=$((memory_mb - OTHER_MB - direct_mb))
-metaspace_mb=$METASPACE_MB
 
 product_file=deploy/dunlinhitch.conf
 if [ -r "$product_file" ]; then
   while IFS= read -r line || [ -n "$line" ]; do
     case $line in
       '[flight]'*)
-        metaspace_mb=$((metaspace_mb + FLIGHT_MB))
-        heap_mb=$((heap_mb - FLIGHT_MB))
+        flight_mb=$FLIGHT_MB
         ;;
     esac
   done < "$product_file"
 fi
+heap_mb=$((memory_mb - OTHER_MB - flight_mb - direct_mb))
+[ "$heap_mb" -lt "$LEAST_HEAP_MB" ] && heap_mb=$LEAST_HEAP_MB
 
+# metaspace and compiled code are bounded against leaks only: a broker that has no room for classes serves nobody
 export MALLOC_ARENA_MAX=1
 exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CICompilerCount=1 \
   -Xshare:auto -XX:SharedArchiveFile=target/dunlinhitch.jsa \
   -Xms16m "-Xmx${heap_mb}m" "-XX:MaxDirectMemorySize=${direct_mb}m" -Xss512k \
-  "-XX:MaxMetaspaceSize=${metaspace_mb}m" -XX:CompressedClassSpaceSize=8m -XX:ReservedCodeCacheSize=10m -XX:-UsePerfData \
+  -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m -XX:-UsePerfData \
   -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.numHeapArenas=1 \
   -jar target/dunlinhitch.jar serve
--- a/src/main/java/dunlinhitch/experiments/testbed/TestBed.java
+++ b/src/main/java/dunlinhitch/experiments/testbed/TestBed.java
@@ -322,6 +322,13 @@
     }
   }
 
+  /**
+   * Returns true if an output line tells of refused memory, an unhandled error or a stalled loop.
+   */
+  static boolean isSuspicious(String line) {
+    return SUSPICIOUS.stream().anyMatch(line::contains);
+  }
+
   /** Returns the Vert.x instance of the proxies and fakes, which has one event loop. */
   public Vertx vertx() {
     return vertx;
--- a/src/test/java/dunlinhitch/cli/DeployCommandTest.java
+++ b/src/test/java/dunlinhitch/cli/DeployCommandTest.java
@@ -95,6 +95,19 @@
         options("{\"limits\":{\"sockets\":1024}}"));
   }
 
+  /** Guards against Flight's classes that take memory which the heap has been given. */
+  @Test
+  void theHeapLeavesRoomForFlightAndIsNeverBelowTheLeastOne() throws Exception {
+    for (int limitMb : new int[] {112, 128, 192}) {
+      String limits = "\"limits\":{\"memory_mb\":" + limitMb + "}";
+      String stores = "\"known\":{\"instances\":[{\"cell\":0,\"protocol\":\"flight\"}]}";
+      int heapMb = megabytes(options("{" + limits + "}"), "-Xmx");
+      int expectedMb = Math.max(constant("LEAST_HEAP_MB"), heapMb - constant("FLIGHT_MB"));
+      assertEquals(expectedMb, megabytes(options("{" + limits + "," + stores + "}"), "-Xmx"));
+      assertEquals(expectedMb, megabytes(options("{" + stores + "," + limits + "}"), "-Xmx"));
+    }
+  }
+
   /** Guards against a start with less memory than the command plans with. */
   @Test
   void aLimitBelowTheLeastOneIsAnError() throws Exception {
