All arguments of the deploy file's command reach the program

In the program, a missing file named by `--conf` counted as none. No test passed an argument, and the test bed's BrokerLaunch would have dropped one too.

A missing `--conf` file and `@FILE`, which the script cannot follow, are refused. BrokerLaunch passes arguments through `sh -c`.

--- a/src/main/java/dunlinhitch/cli/ConfigOptions.java
+++ b/src/main/java/dunlinhitch/cli/ConfigOptions.java
@@ -2,6 +2,7 @@
 
 import dunlinhitch.config.Config;
 import dunlinhitch.config.ConfigFile;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import picocli.CommandLine.Option;
 
@@ -19,9 +20,8 @@
   @Option(
       names = "--conf",
       paramLabel = "<own>",
-      defaultValue = PRODUCT_FILE,
       description =
-          "file with the product's own settings (default: ${DEFAULT-VALUE}, if it exists)")
+          "file with the product's own settings (default: " + PRODUCT_FILE + ", if it exists)")
   private Path productFile;
 
   /** Returns the values that picocli sets for a command line without options. */
@@ -29,19 +29,25 @@
     ConfigOptions options = new ConfigOptions();
     String file = System.getenv(CONFIG_VARIABLE);
     options.file = file == null ? null : Path.of(file);
-    options.productFile = Path.of(PRODUCT_FILE);
     return options;
   }
 
   /**
    * Returns the configuration file, which is not read yet.
    *
-   * @throws Config.ConfigException if no file is specified
+   * @throws Config.ConfigException if no file is specified, or if the product's file is specified
+   *     and does not exist
    */
   ConfigFile configFile() {
     if (file == null) {
       throw new Config.ConfigException("no configuration file: set --config or ROUTER_CONFIG");
     }
+    if (productFile == null) {
+      return new ConfigFile(file, Path.of(PRODUCT_FILE), System.getenv());
+    }
+    if (!Files.exists(productFile)) {
+      throw new Config.ConfigException("file not found: " + productFile);
+    }
     return new ConfigFile(file, productFile, System.getenv());
   }
 }
--- a/src/main/java/dunlinhitch/cli/Main.java
+++ b/src/main/java/dunlinhitch/cli/Main.java
@@ -66,6 +66,7 @@
    */
   static CommandLine commandLine() {
     CommandLine line = new CommandLine(new Main());
+    line.setExpandAtFiles(false); // deploy/serve.sh reads the options that name files, too
     CommandLine formerWarmUp = new CommandLine(new WarmUpCommand());
     formerWarmUp.setCommandName(WarmUpCommand.FORMER_NAME);
     formerWarmUp.getCommandSpec().usageMessage().hidden(true);
--- a/src/main/java/dunlinhitch/experiments/testbed/BrokerLaunch.java
+++ b/src/main/java/dunlinhitch/experiments/testbed/BrokerLaunch.java
@@ -61,8 +61,11 @@
         .orElseThrow(() -> new IOException(DEPLOY_FILE + " has no command"));
   }
 
-  /** Returns the command that starts a broker; its configuration file is {@code $ROUTER_CONFIG}. */
-  List<String> command() {
+  /**
+   * Returns the command that starts a broker with these further arguments; its configuration file
+   * is {@code $ROUTER_CONFIG}.
+   */
+  List<String> command(String... arguments) {
     List<String> command = new ArrayList<>(prefix);
     if (deployCommand.isEmpty()) {
       command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
@@ -70,8 +73,10 @@
       command.addAll(
           List.of("-cp", System.getProperty("java.class.path"), "dunlinhitch.cli.Main", "serve"));
     } else {
-      command.addAll(List.of("/bin/sh", "-c", "ulimit -n " + sockets + "; " + deployCommand));
+      String script = "ulimit -n " + sockets + "; " + deployCommand + " \"$@\"";
+      command.addAll(List.of("/bin/sh", "-c", script, "sh"));
     }
+    command.addAll(List.of(arguments));
     return command;
   }
 
--- a/src/main/java/dunlinhitch/experiments/testbed/TestBed.java
+++ b/src/main/java/dunlinhitch/experiments/testbed/TestBed.java
@@ -145,13 +145,14 @@
       lines.clear();
       Path config = workingDirectory.resolve("config.json");
       Files.writeString(config, configText());
-      List<String> command = new ArrayList<>(plan.launch().command());
+      String[] arguments = {};
       if (plan.cluster() != null) {
         Path conf = workingDirectory.resolve("dunlinhitch.conf");
         Files.writeString(conf, clusterSection() + plan.cluster());
-        command.addAll(List.of("--conf", conf.toString()));
+        arguments = new String[] {"--conf", conf.toString()};
       }
-      ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+      ProcessBuilder builder =
+          new ProcessBuilder(plan.launch().command(arguments)).redirectErrorStream(true);
       builder.environment().put("TMPDIR", Files.createDirectories(scratchFolder()).toString());
       builder.environment().put("ROUTER_CONFIG", config.toString());
       process = builder.start();
--- a/src/test/java/dunlinhitch/cli/DeployCommandTest.java
+++ b/src/test/java/dunlinhitch/cli/DeployCommandTest.java
@@ -6,8 +6,10 @@
 
 import dunlinhitch.config.Config.ConfigException;
 import dunlinhitch.config.ConfigFile;
+import java.io.Writer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -15,7 +17,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The JVM limits that the deploy file's command derives from the configuration. */
+/**
+ * What the deploy file's command passes on to the program, and the JVM limits that it derives from
+ * the configuration.
+ */
 class DeployCommandTest {
   private static final String SCRIPT = "deploy/serve.sh";
 
@@ -39,11 +44,33 @@
     builder.environment().put("PATH", directory.toString());
     builder.environment().put("ROUTER_CONFIG", file.toString());
     builder.environment().put("ROUTER_ACCEPT_FD", listenerDescriptor);
-    Process process = builder.start();
-    List<String> options = process.inputReader().lines().toList();
+    return outputOf(builder.start(), 0);
+  }
+
+  private static List<String> outputOf(Process process, int exitCode) throws Exception {
+    List<String> lines = process.inputReader().lines().toList();
     assertTrue(process.waitFor(20, TimeUnit.SECONDS));
-    assertEquals(0, process.exitValue(), options.toString());
-    return options;
+    assertEquals(exitCode, process.exitValue(), lines.toString());
+    return lines;
+  }
+
+  /** Returns a builder of the script with these arguments, whose {@code java} runs {@code body}. */
+  private ProcessBuilder script(String body, String... arguments) throws Exception {
+    Files.writeString(directory.resolve("java"), "#!/bin/sh\n" + body + "\n");
+    List<String> command = new ArrayList<>(List.of("/bin/sh", SCRIPT));
+    command.addAll(List.of(arguments));
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    builder.environment().put("PATH", directory.toString());
+    builder.environment().remove("ROUTER_CONFIG");
+    return builder;
+  }
+
+  private List<String> optionsWith(String... arguments) throws Exception {
+    return outputOf(script("for option; do echo \"$option\"; done", arguments).start(), 0);
+  }
+
+  private String write(String name, String content) throws Exception {
+    return Files.writeString(directory.resolve(name), content).toString();
   }
 
   private static int megabytes(List<String> options, String name) {
@@ -151,4 +178,85 @@
       assertEquals(limitMb - reserveMb, 2 * usedMb);
     }
   }
+
+  /** Guards against a script that serves without the settings file that its arguments name. */
+  @Test
+  void allArgumentsReachTheProgramUnchanged() throws Exception {
+    String[] arguments = {
+      "--conf", write("a b.conf", ""), "", "*", "two  spaces", "--unknown=\"'$x\\", "--conf="
+    };
+    List<String> options = optionsWith(arguments);
+    int command = options.indexOf("serve");
+    assertEquals(List.of(arguments), options.subList(command + 1, options.size()));
+    assertEquals("serve", optionsWith().get(command), "no argument is added where there is none");
+    assertEquals(command + 1, optionsWith().size());
+  }
+
+  /** Guards against an exit code, standard input, process id or variable that the script keeps. */
+  @Test
+  void theProgramTakesThePlaceOfTheScript() throws Exception {
+    ProcessBuilder builder =
+        script("read -r line; echo \"$$ $line $MALLOC_ARENA_MAX $OTHER\"; exit 7");
+    builder.environment().put("ROUTER_CONFIG", write("config.json", "{}"));
+    builder.environment().put("ROUTER_ACCEPT_FD", "0");
+    builder.environment().put("MALLOC_ARENA_MAX", "3");
+    builder.environment().put("OTHER", "x y");
+    Process process = builder.start();
+    try (Writer input = process.outputWriter()) {
+      input.write("input\n");
+    }
+    assertEquals(List.of(process.pid() + " input 3 x y"), outputOf(process, 7));
+  }
+
+  /**
+   * Guards against a SIGHUP that ends the process while the script reads the files: it is sent by a
+   * {@code read} that takes the place of the shell's. The program is started with the signal at its
+   * default.
+   */
+  @Test
+  void hangupWhileTheScriptReadsTheFilesIsHarmless() throws Exception {
+    String shell =
+        "read() { kill -HUP $$; command read \"$@\"; }; script=$0; . \"./$script\" \"$@\"";
+    ProcessBuilder builder = script("echo started; kill -HUP $$; echo ignored");
+    builder.command(List.of("/bin/sh", "-c", shell, SCRIPT));
+    builder.environment().put("ROUTER_CONFIG", write("config.json", "{}"));
+    int endedBySignal = 128 + 1;
+    assertEquals(List.of("started"), outputOf(builder.start(), endedBySignal));
+  }
+
+  /** Guards against a heap that is planned by another file than the one that the program reads. */
+  @Test
+  void filesThatTheArgumentsNameArePlannedWith() throws Exception {
+    String small = write("small.json", "{\"limits\":{\"memory_mb\":128}}");
+    int heapMb = megabytes(options("{\"limits\":{\"memory_mb\":128}}"), "-Xmx");
+    assertEquals(heapMb, megabytes(optionsWith("--config", small), "-Xmx"));
+    assertEquals(heapMb, megabytes(optionsWith("--config=" + small), "-Xmx"));
+    int withFlightMb = Math.max(constant("LEAST_HEAP_MB"), heapMb - constant("FLIGHT_MB"));
+    for (String section :
+        List.of("[flight]", " \t[flight] # x", "[ flight ]", "x 1\n[flight]\r\n", "include x")) {
+      String conf = write("own.conf", section);
+      assertEquals(withFlightMb, megabytes(optionsWith("--conf", conf, "--config", small), "-Xmx"));
+      assertEquals(
+          withFlightMb, megabytes(optionsWith("--config=" + small, "--conf=" + conf), "-Xmx"));
+    }
+    for (String other : List.of("# [flight]", "[dns_sd flight]", "[fleet]", "", "\n\nx [flight]")) {
+      String conf = write("own.conf", other);
+      assertEquals(heapMb, megabytes(optionsWith("--config", small, "--conf", conf), "-Xmx"));
+    }
+  }
+
+  /**
+   * Guards against a pipe that the script empties before the program reads it, and against lines of
+   * the shell beside the program's error where a file is missing.
+   */
+  @Test
+  void aPipeIsLeftToTheProgramAndAMissingFileToItsError() throws Exception {
+    Path pipe = directory.resolve("pipe");
+    assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+    List<String> options = optionsWith("--config", pipe.toString());
+    assertEquals(constant("LEAST_HEAP_MB"), megabytes(options, "-Xmx"));
+    assertEquals(
+        List.of("--config", pipe.toString()), options.subList(options.size() - 2, options.size()));
+    assertTrue(optionsWith("--config", "none/a", "--conf", "none/b").get(0).startsWith("-XX"));
+  }
 }
--- a/src/test/java/dunlinhitch/cli/MainTest.java
+++ b/src/test/java/dunlinhitch/cli/MainTest.java
@@ -55,6 +55,20 @@
     assertEquals(1, errorOutput("experiments", "soak", "--seeds", "x").lines().count());
   }
 
+  /** Guards against arguments that have no effect: a missing file, a file of arguments. */
+  @Test
+  void argumentsWithoutAnEffectAreRefused() throws IOException {
+    String file = Files.writeString(dir.resolve("config.json"), "{}").toString();
+    String missing = dir.resolve("missing.conf").toString();
+    for (String command : List.of("serve", "check")) {
+      assertEquals(
+          "dunlinhitch: file not found: " + missing + "\n",
+          errorOutput(command, "--config", file, "--conf", missing));
+      Path arguments = Files.writeString(dir.resolve("arguments"), "--help");
+      assertEquals(1, errorOutput(command, "@" + arguments).lines().count());
+    }
+  }
+
   /** The build archives the classes that a warm-up loads, so the warm-up must succeed. */
   @ParameterizedTest
   @ValueSource(strings = {"warm-up", "rehearse"})
