A record set is compared whole after each gap in which no change could be told

Changed SRV, TXT and address records left the old one beside the new one.

Cause: RecordCache.setSubscribed took a set as current when its subscription was accepted, though nothing had compared what it held, and queryNow dropped a request while an older query was in flight. Told apart from a slow session, a registry that keeps claims and the case's own set-up by a test without sockets for each record type; no counter showed it.

Change: RecordSet has the four states of a set (unknown, cached, in doubt, followed) and all transitions. A gap puts a set in doubt. A new session that sends every record held ends the doubt without a query; what it does not send is queried, lists of instances first, spread and bounded also when sessions flap. Only a complete answer to a query sent after the doubt is evidence of absence; a negative one needs AA and the zone's SOA record. What a session has sent or removed stands against answers, whose server may lag. Counters and a log line say what a gap has hidden.

ServiceRecordsTest asks for all records where it asked for the list alone, which nothing else does any more; what it demands is as before.

--- a/src/main/java/dunlinhitch/core/Counter.java
+++ b/src/main/java/dunlinhitch/core/Counter.java
@@ -119,6 +119,12 @@
   DNS_STRAYS("dns_strays"),
   /** DNS answers from a server that is not authoritative. */
   DNS_NOT_AUTHORITATIVE("dns_not_authoritative"),
+  /** DNS answers that are truncated, also over TCP. */
+  DNS_TRUNCATED("dns_truncated"),
+  /** DNS record sets that were in doubt and have been compared, or confirmed by a push session. */
+  DNS_SETS_COMPARED("dns_sets_compared"),
+  /** DNS records that were found new or gone while their set was in doubt. */
+  DNS_CHANGES_MISSED("dns_changes_missed"),
   /** DNS push sessions that ended. */
   PUSH_ENDED("push_ended"),
   /** Changes of the discovery address. */
--- a/src/main/java/dunlinhitch/discovery/dnssd/AnswerFault.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/AnswerFault.java
@@ -9,5 +9,7 @@
   /** A CNAME chain loops, or ends at a name for which the response has no records. */
   UNRESOLVED_ALIAS,
   /** A negative answer lacks the AA bit and is ignored. */
-  NOT_AUTHORITATIVE
+  NOT_AUTHORITATIVE,
+  /** An answer is truncated, also over TCP; records that it does not list are kept. */
+  TRUNCATED
 }
--- a/src/main/java/dunlinhitch/discovery/dnssd/BrowsedInstances.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/BrowsedInstances.java
@@ -1,7 +1,6 @@
 package dunlinhitch.discovery.dnssd;
 
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -48,25 +47,26 @@
   }
 
   /**
-   * Applies a new PTR set: adds the instances that it lists and removes those that it no longer
-   * lists. Only an authoritative answer withdraws the claims of a removed instance.
+   * Applies a new answer for a PTR set: adds the instances that it lists and removes those whose
+   * records were {@code removed}. Only an authoritative answer withdraws the claims of a removed
+   * instance; otherwise they expire.
    */
-  void onPointers(RecordSet pointers, boolean authoritative) {
+  void onPointers(RecordSet pointers, List<Record> removed, boolean authoritative, long nowUs) {
     Name browsedName = pointers.key.name();
-    Set<Name> listed = new HashSet<>();
-    for (Record record : pointers.records) {
-      Name name = ((PTRRecord) record).getTarget();
-      if (add(browsedName, name)) {
-        listed.add(name);
-      }
-    }
-    for (ServiceInstance instance : List.copyOf(instances.values())) {
-      if (!listed.contains(instance.name)) {
+    pointers.records().forEach(record -> add(browsedName, targetOf(record)));
+    for (Record record : removed) {
+      ServiceInstance instance = instances.get(targetOf(record));
+      if (instance != null) {
+        instance.lapseUs = authoritative ? instance.lapseUs : nowUs + pointers.ttlUs();
         removePointer(browsedName, instance, authoritative);
       }
     }
   }
 
+  private static Name targetOf(Record record) {
+    return ((PTRRecord) record).getTarget();
+  }
+
   /** Adds an instance that a PTR record lists; returns false if the instance limit is reached. */
   boolean add(Name browsedName, Name name) {
     if (!instances.containsKey(name) && instances.size() >= maxInstances) {
@@ -85,8 +85,8 @@
   }
 
   /** Handles the pushed removal of a PTR record. */
-  void onPointerRemoved(Name browsedName, Name name) {
-    ServiceInstance instance = instances.get(name);
+  void onPointerRemoved(Name browsedName, Record record) {
+    ServiceInstance instance = instances.get(targetOf(record));
     if (instance != null) {
       removePointer(browsedName, instance, true);
     }
@@ -100,7 +100,8 @@
 
   /**
    * Removes an instance that no browsed name lists. After a non-authoritative answer its claims are
-   * not withdrawn; they are no longer refreshed and eventually expire.
+   * not withdrawn; they are no longer refreshed and expire, also if a push session had followed
+   * them.
    */
   private void remove(ServiceInstance instance, boolean authoritative) {
     cache.release(instance, instance.srv);
@@ -113,10 +114,6 @@
     instance.txt = null;
     instance.withdrawn = authoritative;
     instances.remove(instance.name);
-    if (authoritative) {
-      changed.add(instance);
-    } else {
-      changed.remove(instance);
-    }
+    changed.add(instance);
   }
 }
--- a/src/main/java/dunlinhitch/discovery/dnssd/ClaimBuilder.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/ClaimBuilder.java
@@ -3,6 +3,7 @@
 import dunlinhitch.endpoints.Endpoint;
 import dunlinhitch.endpoints.EndpointClaim;
 import java.net.InetAddress;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -43,36 +44,46 @@
     if (!instance.isDescribed()) {
       return null;
     }
-    List<SRVRecord> targets = preferredTargets(instance.srv.records);
+    List<SRVRecord> targets = preferredTargets(instance.srv.records());
     requestAddresses(instance, targets);
-    List<TXTRecord> texts = sortedTexts(instance.txt.records);
+    List<TXTRecord> texts = sortedTexts(instance.txt.records());
     Map<String, EndpointClaim> claims = new LinkedHashMap<>();
     for (SRVRecord target : targets) {
       RecordSet addresses = instance.addressesOf(target.getTarget());
-      if (!addresses.answered) {
+      if (!addresses.isAnswered()) {
         return null;
       }
-      if (addresses.records.isEmpty()) {
+      if (addresses.records().isEmpty()) {
         reportFault(instance, target.getTarget() + " has no A or AAAA record");
         continue;
       }
       addClaims(instance, target, addresses, texts, claims);
     }
     if (claims.isEmpty() && instance.fault.isEmpty()) {
-      instance.fault = instance.srv.records.isEmpty() ? "no SRV record" : "no TXT record";
+      instance.fault = instance.srv.records().isEmpty() ? "no SRV record" : "no TXT record";
     }
     return claims;
   }
 
+  /** Returns the claims of an instance that was removed without a withdrawal, with their expiry. */
+  List<EndpointClaim> lapsed(ServiceInstance instance) {
+    return instance.claims.values().stream()
+        .filter(claim -> claim.expiresUs() > instance.lapseUs)
+        .map(
+            claim ->
+                new EndpointClaim(claim.key(), claim.endpoint(), cache.nowUs(), instance.lapseUs))
+        .toList();
+  }
+
   private void addClaims(
       ServiceInstance instance,
       SRVRecord target,
       RecordSet addresses,
       List<TXTRecord> texts,
       Map<String, EndpointClaim> claims) {
-    String host = lowestAddress(addresses.records);
-    long describedUntilUs = Math.min(instance.srv.expiresUs, instance.txt.expiresUs);
-    long expiresUs = Math.min(describedUntilUs, addresses.expiresUs);
+    String host = lowestAddress(addresses.records());
+    long describedUntilUs = Math.min(instance.srv.expiresUs(), instance.txt.expiresUs());
+    long expiresUs = Math.min(describedUntilUs, addresses.expiresUs());
     for (int i = 0; i < texts.size(); i++) {
       String key = claimKey(instance, target, i);
       try {
@@ -114,7 +125,7 @@
    * Returns the SRV records with the lowest priority value (RFC 2782), in an order that is
    * independent of the response. A target of "." means that the service is not available.
    */
-  private static List<SRVRecord> preferredTargets(List<Record> records) {
+  private static List<SRVRecord> preferredTargets(Collection<Record> records) {
     List<SRVRecord> available =
         records.stream()
             .map(record -> (SRVRecord) record)
@@ -130,7 +141,7 @@
         .toList();
   }
 
-  private static List<TXTRecord> sortedTexts(List<Record> records) {
+  private static List<TXTRecord> sortedTexts(Collection<Record> records) {
     return records.stream()
         .map(record -> (TXTRecord) record)
         .sorted(Comparator.comparing(TXTRecord::rdataToString))
@@ -168,7 +179,7 @@
   }
 
   /** Returns the first address in text order, so that all brokers select the same address. */
-  private static String lowestAddress(List<Record> records) {
+  private static String lowestAddress(Collection<Record> records) {
     return records.stream()
         .map(ClaimBuilder::address)
         .map(InetAddress::getHostAddress)
--- a/src/main/java/dunlinhitch/discovery/dnssd/DnsDiscoverySource.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/DnsDiscoverySource.java
@@ -34,6 +34,7 @@
   private static final int UNAVAILABLE_AFTER_FAILURES = 3;
 
   private static final long NO_TIMER = -1;
+  private static final long US_PER_MS = 1_000;
 
   /**
    * A push server.
@@ -189,6 +190,7 @@
     }
     emitClaims(nowUs);
     countFaults();
+    reportDoubts(nowUs);
     scheduleTimer(nextUs());
   }
 
@@ -226,15 +228,44 @@
     }
   }
 
+  /** Logs and counts what was missed while no change could be received. */
+  private void reportDoubts(long nowUs) {
+    DoubtMonitor.Report report = records.drainDoubtReport(nowUs);
+    if (report == null) {
+      return;
+    }
+    int missed = report.added() + report.removed();
+    boolean ended = report.pending() == 0;
+    if (ended) {
+      count(Counter.DNS_SETS_COMPARED, report.sets());
+      count(Counter.DNS_CHANGES_MISSED, missed);
+    }
+    if (!ended || missed > 0) {
+      context.logLine(settings.source() + ": " + describe(report));
+    }
+  }
+
+  private static String describe(DoubtMonitor.Report report) {
+    String found =
+        report.sets()
+            + " record sets compared in "
+            + report.durationUs() / US_PER_MS
+            + " ms: "
+            + report.removed()
+            + " records gone, "
+            + report.added()
+            + " new";
+    return report.pending() == 0 ? found : found + ", " + report.pending() + " sets in doubt";
+  }
+
+  private void count(Counter counter, int times) {
+    for (int i = 0; i < times; i++) {
+      context.emit(new Event.ConditionCounted(counter));
+    }
+  }
+
   private void countFaults() {
-    records
-        .drainFaults()
-        .forEach(
-            (fault, times) -> {
-              for (int i = 0; i < times; i++) {
-                context.emit(new Event.ConditionCounted(counterOf(fault)));
-              }
-            });
+    records.drainFaults().forEach((fault, times) -> count(counterOf(fault), times));
     while (countedUnexpectedResponses < resolver.unexpectedResponses()) {
       context.emit(new Event.ConditionCounted(Counter.DNS_STRAYS));
       countedUnexpectedResponses++;
@@ -246,6 +277,7 @@
       case INVALID_INSTANCE, UNRESOLVED_ALIAS -> Counter.ENDPOINT_ENTRIES_INVALID;
       case INSTANCE_LIMIT -> Counter.CLAIMS_REJECTED;
       case NOT_AUTHORITATIVE -> Counter.DNS_NOT_AUTHORITATIVE;
+      case TRUNCATED -> Counter.DNS_TRUNCATED;
     };
   }
 
@@ -259,9 +291,7 @@
 
   private void onSerialResult(AsyncResult<Message> result) {
     switch (serialPoller.onResponse(result.succeeded() ? result.result() : null)) {
-      case CHANGED -> records.refreshAll(context.nowUs());
-      // The list of instances may have changed after it was received and before this first poll.
-      case FIRST -> records.refreshInstanceList(context.nowUs());
+      case CHANGED, FIRST -> records.refreshAll(context.nowUs());
       case UNCHANGED -> {}
     }
     advance();
--- a/src/main/java/dunlinhitch/discovery/dnssd/RecordsBenchmark.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/RecordsBenchmark.java
@@ -57,6 +57,8 @@
     } while (claims.size() > claimsBefore);
     List.copyOf(records.subscriptionKeys())
         .forEach(key -> records.onSubscriptionChanged(nowUs, key, true));
+    pointers.forEach(pointer -> records.onRecordAdded(nowUs, pointer));
+    zone.values().forEach(set -> set.forEach(record -> records.onRecordAdded(nowUs, record)));
     records.drainClaims(nowUs);
     return claims;
   }
--- a/src/main/java/dunlinhitch/discovery/dnssd/ResponseRecords.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/ResponseRecords.java
@@ -87,6 +87,13 @@
     return Math.max(MIN_TTL_US, Math.min(MAX_TTL_US, lowestS * US_PER_SECOND));
   }
 
+  /**
+   * Returns true if the authority section names the zone of a negative answer by its SOA record.
+   */
+  static boolean hasZone(Message response) {
+    return response.getSection(Section.AUTHORITY).stream().anyMatch(SOARecord.class::isInstance);
+  }
+
   /** Returns the lifetime of a negative answer, from the zone's SOA record (RFC 2308 section 5). */
   static long negativeTtlUs(Message response) {
     for (Record record : response.getSection(Section.AUTHORITY)) {
--- a/src/main/java/dunlinhitch/discovery/dnssd/ServiceInstance.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/ServiceInstance.java
@@ -33,6 +33,9 @@
    */
   boolean withdrawn;
 
+  /** When the claims of an instance expire that a non-authoritative answer has removed. */
+  long lapseUs;
+
   /** Reason why the records describe no usable endpoint; empty if they describe one. */
   String fault = "";
 
@@ -42,7 +45,12 @@
 
   /** Returns true once both the SRV and the TXT set have been answered. */
   boolean isDescribed() {
-    return srv != null && srv.answered && txt.answered;
+    return srv != null && srv.isAnswered() && txt.isAnswered();
+  }
+
+  /** Returns true if the instance was removed without the withdrawal of its claims. */
+  boolean isLapsing() {
+    return srv == null && !withdrawn;
   }
 
   /**
--- a/src/main/java/dunlinhitch/discovery/dnssd/ServiceRecords.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/ServiceRecords.java
@@ -25,7 +25,8 @@
  * clock. Not thread-safe; its owner calls it on the event loop. Times are in microseconds.
  *
  * <p>Only a negative answer with the AA bit empties a record set. If a query fails or its answer
- * cannot be used, the record set is unchanged and the query is retried with backoff.
+ * cannot be used, the record set is unchanged and the query is retried with backoff. {@link
+ * RecordSet} states when records are current and what removes them.
  */
 public final class ServiceRecords {
   /**
@@ -58,6 +59,9 @@
    */
   record ClaimUpdate(boolean snapshot, List<EndpointClaim> claims) {}
 
+  /** Consecutive failed queries after which an answer shows that the server is reachable again. */
+  private static final int UNREACHABLE_AFTER_FAILURES = 3;
+
   private final List<Name> browsedNames;
   private final RecordCache cache;
   private final BrowsedInstances instances;
@@ -65,6 +69,7 @@
   private final RestoredClaims restoredClaims = new RestoredClaims();
   private final Map<AnswerFault, Integer> faults = new EnumMap<>(AnswerFault.class);
   private boolean snapshotEmitted;
+  private int consecutiveFailures;
 
   /** Creates a state machine that browses {@code browsedNames}: the service, or its subtypes. */
   ServiceRecords(
@@ -102,26 +107,21 @@
     return cache.startQueries();
   }
 
-  /** Returns when queries are next due. Each response can make further queries due at once. */
+  /** Returns when work is next due. Each response can make further queries due at once. */
   long nextUs() {
-    return cache.nextUs();
+    return Math.min(cache.nextUs(), cache.doubts().nextUs());
   }
 
-  /** Queries the lists of instances again. */
-  void refreshInstanceList(long nowUs) {
-    cache.advance(nowUs);
-    browsedNames.forEach(name -> cache.queryNow(cache.get(pointersOf(name))));
-  }
-
-  /** Queries the lists of instances and all sets without a push subscription again. */
+  /** Queries all records that no push session follows, because some may have changed. */
   void refreshAll(long nowUs) {
-    refreshInstanceList(nowUs);
-    cache.queryAllUnsubscribed();
+    cache.advance(nowUs);
+    cache.compareAllNow();
   }
 
   /** Handles a query that ended without a usable response. */
   void onFailure(long nowUs, Question question) {
     cache.advance(nowUs);
+    consecutiveFailures++;
     RecordSet set = cache.completeQuery(question);
     if (set != null) {
       cache.retryLater(set);
@@ -137,27 +137,28 @@
     }
     ResponseRecords found = new ResponseRecords(response);
     List<Record> answer = found.resolve(question);
-    if (!isAcceptable(response, answer)) {
+    if (!isAcceptable(response, answer, set)) {
       cache.retryLater(set);
       return;
     }
-    boolean authoritative = isAuthoritative(response);
-    set.failures = 0;
-    if (isNegative(response, answer)) {
-      store(set, List.of(), ResponseRecords.negativeTtlUs(response), authoritative);
-    } else {
-      store(set, answer, ResponseRecords.ttlUs(answer), authoritative);
+    if (consecutiveFailures >= UNREACHABLE_AFTER_FAILURES) {
+      cache.compareDoubtful();
     }
-    if (authoritative) {
-      storeAdditional(set, found);
+    consecutiveFailures = 0;
+    boolean negative = isNegative(response, answer);
+    long ttlUs = negative ? ResponseRecords.negativeTtlUs(response) : ResponseRecords.ttlUs(answer);
+    apply(set, answerOf(response, negative ? List.of() : answer, ttlUs, set.askedAt));
+    if (isAuthoritative(response) && !isTruncated(response)) {
+      applyAdditional(set, found, response);
     }
   }
 
   /**
-   * Returns true if the answer may replace the cached records. Counts an unresolved alias and a
-   * non-authoritative negative answer as faults.
+   * Returns true if the answer may be used. Counts an unresolved alias, a non-authoritative
+   * negative answer and a truncated answer as faults. A negative answer is evidence of absence only
+   * if it is authoritative and names its zone by an SOA record (RFC 2308 section 3).
    */
-  private boolean isAcceptable(Message response, List<Record> answer) {
+  private boolean isAcceptable(Message response, List<Record> answer, RecordSet set) {
     if (answer == null) {
       count(AnswerFault.UNRESOLVED_ALIAS);
       return false;
@@ -166,11 +167,16 @@
     if (rcode != Rcode.NOERROR && rcode != Rcode.NXDOMAIN) {
       return false;
     }
+    if (isTruncated(response)) {
+      count(AnswerFault.TRUNCATED);
+      return !answer.isEmpty();
+    }
     if (isNegative(response, answer) && !isAuthoritative(response)) {
       count(AnswerFault.NOT_AUTHORITATIVE);
       return false;
     }
-    return true;
+    boolean empties = isNegative(response, answer) && !set.records().isEmpty();
+    return !empties || ResponseRecords.hasZone(response);
   }
 
   private static boolean isNegative(Message response, List<Record> answer) {
@@ -181,21 +187,34 @@
     return response.getHeader().getFlag(Flags.AA);
   }
 
-  /** Stores the other record sets of an authoritative response, which saves queries for them. */
-  private void storeAdditional(RecordSet answered, ResponseRecords found) {
+  /** Returns true if the answer does not fit into a message, not even over TCP. */
+  private static boolean isTruncated(Message response) {
+    return response.getHeader().getFlag(Flags.TC);
+  }
+
+  private static RecordSetAnswer answerOf(
+      Message response, List<Record> records, long ttlUs, long askedAt) {
+    return new RecordSetAnswer(
+        records, ttlUs, !isTruncated(response), isAuthoritative(response), askedAt);
+  }
+
+  /** Applies the other record sets of an authoritative response, which saves queries for them. */
+  private void applyAdditional(RecordSet answered, ResponseRecords found, Message response) {
     for (Map.Entry<Question, List<Record>> additional : found.byKey().entrySet()) {
       RecordSet set = cache.get(additional.getKey());
-      if (set != null && set != answered && !set.querying) {
-        set.failures = 0;
-        store(set, additional.getValue(), ResponseRecords.ttlUs(additional.getValue()), true);
+      if (set == null || set == answered || set.querying || set.isOutdated(answered.askedAt)) {
+        continue;
       }
+      List<Record> records = additional.getValue();
+      long ttlUs = ResponseRecords.ttlUs(records);
+      apply(set, answerOf(response, records, ttlUs, answered.askedAt));
     }
   }
 
-  private void store(RecordSet set, List<Record> records, long ttlUs, boolean authoritative) {
-    cache.store(set, records, ttlUs);
-    if (set.key.type() == Type.PTR) {
-      instances.onPointers(set, authoritative);
+  private void apply(RecordSet set, RecordSetAnswer answer) {
+    RecordSet.Change change = cache.answer(set, answer);
+    if (set.isInstanceList()) {
+      instances.onPointers(set, change.removed(), answer.authoritative(), cache.nowUs());
     } else {
       instances.markChanged(set.dependents);
     }
@@ -222,7 +241,8 @@
       updateClaims(instance, claims);
     }
     withdrawRestored(claims);
-    if (snapshotEmitted || !cache.isComplete()) {
+    boolean awaitsLists = !restoredClaims.isEmpty() && !areListsReceived();
+    if (snapshotEmitted || awaitsLists || !cache.isComplete()) {
       return new ClaimUpdate(false, claims);
     }
     snapshotEmitted = true;
@@ -233,6 +253,10 @@
   }
 
   private void updateClaims(ServiceInstance instance, List<EndpointClaim> changes) {
+    if (instance.isLapsing()) {
+      changes.addAll(claimBuilder.lapsed(instance));
+      return;
+    }
     Map<String, EndpointClaim> current =
         instance.withdrawn ? Map.of() : claimBuilder.build(instance);
     if (current == null) {
@@ -259,7 +283,7 @@
     if (restoredClaims.isEmpty()) {
       return;
     }
-    if (!browsedNames.stream().allMatch(name -> cache.get(pointersOf(name)).answered)) {
+    if (!areListsReceived()) {
       return;
     }
     Set<String> listed = new HashSet<>();
@@ -267,6 +291,18 @@
     restoredClaims.withdrawUnlisted(listed, cache.nowUs(), changes);
   }
 
+  private boolean areListsReceived() {
+    return browsedNames.stream().allMatch(name -> cache.get(pointersOf(name)).isListed());
+  }
+
+  // ---- records in doubt
+
+  /** Returns a report on records that were in doubt, or null if there is none. */
+  DoubtMonitor.Report drainDoubtReport(long nowUs) {
+    cache.advance(nowUs);
+    return cache.doubts().drainReport(nowUs);
+  }
+
   // ---- push notifications (RFC 8765)
 
   /** Returns a version that changes whenever {@link #subscriptionKeys} does. */
@@ -283,9 +319,15 @@
   void onSubscriptionChanged(long nowUs, Question key, boolean subscribed) {
     cache.advance(nowUs);
     RecordSet set = cache.get(key);
-    if (set != null && cache.setSubscribed(set, subscribed)) {
-      instances.markChanged(set.dependents);
+    if (set == null) {
+      return;
+    }
+    if (subscribed) {
+      cache.subscribed(set);
+    } else {
+      cache.subscriptionEnded(set);
     }
+    instances.markChanged(set.dependents);
   }
 
   /** Handles a pushed record that was added or whose TTL was renewed. */
@@ -295,30 +337,27 @@
     if (set == null) {
       return;
     }
-    if (set.answered && record instanceof PTRRecord pointer) {
+    cache.pushAdded(set, record);
+    if (record instanceof PTRRecord pointer) {
       instances.add(set.key.name(), pointer.getTarget());
-      return;
+    } else {
+      instances.markChanged(set.dependents);
     }
-    List<Record> records = new ArrayList<>(set.records);
-    records.remove(record);
-    records.add(record);
-    store(set, records, ResponseRecords.ttlUs(records), true);
   }
 
   /** Handles a pushed removal of {@code record}, or of the complete set if it is null. */
   void onRecordRemoved(long nowUs, Question key, Record record) {
     cache.advance(nowUs);
     RecordSet set = cache.get(key);
-    if (set == null || !set.answered) {
+    if (set == null) {
       return;
     }
-    if (record instanceof PTRRecord pointer) {
-      instances.onPointerRemoved(key.name(), pointer.getTarget());
-      return;
+    RecordSet.Change change = cache.pushRemoved(set, record);
+    if (set.isInstanceList()) {
+      change.removed().forEach(gone -> instances.onPointerRemoved(key.name(), gone));
+    } else {
+      instances.markChanged(set.dependents);
     }
-    List<Record> records = new ArrayList<>(record == null ? List.of() : set.records);
-    records.remove(record);
-    store(set, records, set.ttlUs, true);
   }
 
   /** Returns a description of every listed instance. */
--- a/src/test/java/dunlinhitch/discovery/dnssd/ServiceRecordsTest.java
+++ b/src/test/java/dunlinhitch/discovery/dnssd/ServiceRecordsTest.java
@@ -98,7 +98,7 @@
     respondToAll(records);
     assertEquals(2, claims.size());
     zone.remove(Zone.pointer(SERVICE, "one", 100));
-    records.refreshInstanceList(nowUs);
+    records.refreshAll(nowUs);
     Question listQuery = records.startQueries(nowUs).get(0);
     Message response = zoneResponse(listQuery);
     response.getHeader().unsetFlag(Flags.AA);
