With a push server the serial is always polled, and a session shows that it lives

With the session away for long and no soa_every, a withdrawal was seen by the TTL only.

Cause: polls of the zone's serial were skipped while the session had not been seen to end, and a session ends after two keep-alive intervals without a message. Without soa_every there were none. A domain that is no apex of its zone never gave a serial: the SOA record is then in the authority section, which was not read.

Change: polls each second, or by soa_every, without a session; at once when one ends; every 2 s beside one. Unless the serial shows that nothing has changed, the server has to answer a keep-alive within 1 s, or the session ends and all its sets are compared. Sets that no session has confirmed are compared at each new serial; without any serial, every 3 s, spread.

--- a/src/main/java/dunlinhitch/discovery/dnssd/DnsDiscoverySource.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/DnsDiscoverySource.java
@@ -57,6 +57,7 @@
    * @param browsedNames names to browse: the service, or its subtypes
    * @param zone zone whose SOA serial is polled
    * @param serialPollIntervalUs interval of the serial polls in microseconds; 0 disables them
+   *     unless there is a push server
    * @param pushServer the push server, or null
    * @param limits limits on instances and queries
    */
@@ -87,6 +88,7 @@
   private long timerId = NO_TIMER;
   private long timerDueUs = TimingWheel.NEVER;
   private boolean answered;
+  private boolean loggedMissingSerial;
   private boolean stopped;
 
   /** Creates a stopped source. The {@code seed} determines its delays; 0 makes them random. */
@@ -116,7 +118,9 @@
         settings.pushServer() == null
             ? null
             : new PushClient(vertx, settings.pushServer(), context, records, random, this::advance);
-    serialPoller = new ZoneSerialPoller(settings.serialPollIntervalUs(), context.nowUs());
+    serialPoller =
+        new ZoneSerialPoller(
+            settings.serialPollIntervalUs(), settings.pushServer() != null, context.nowUs());
   }
 
   /** Returns the name of the source in events and log lines. */
@@ -155,6 +159,7 @@
   @Override
   public void resync() {
     records.refreshAll(context.nowUs());
+    probePushSession();
     advance();
   }
 
@@ -282,21 +287,50 @@
   }
 
   private void pollSerial(long nowUs) {
-    if (serialPoller.startPoll(nowUs, isPushSessionUp())) {
+    boolean isSessionUp = pushClient != null && pushClient.isEstablished();
+    if (serialPoller.startPoll(nowUs, isSessionUp)) {
       resolver
           .query(new Question(settings.zone(), Type.SOA), nowUs + QUERY_TIMEOUT_US)
           .onComplete(this::onSerialResult);
     }
   }
 
+  /** Unless the serial shows that nothing has changed, a push session has to show that it lives. */
   private void onSerialResult(AsyncResult<Message> result) {
-    switch (serialPoller.onResponse(result.succeeded() ? result.result() : null)) {
-      case CHANGED, FIRST -> records.refreshAll(context.nowUs());
+    if (stopped) {
+      return;
+    }
+    long nowUs = context.nowUs();
+    Message response = result.succeeded() ? result.result() : null;
+    switch (serialPoller.onResponse(nowUs, response)) {
+      case CHANGED, FIRST -> {
+        records.refreshAll(nowUs);
+        probePushSession();
+      }
+      case NO_SERIAL -> followWithoutSerial(nowUs);
+      case FAILED -> probePushSession();
       case UNCHANGED -> {}
     }
     advance();
   }
 
+  private void followWithoutSerial(long nowUs) {
+    if (!loggedMissingSerial) {
+      loggedMissingSerial = true;
+      context.logLine(settings.source() + ": no serial for the zone " + settings.zone());
+    }
+    if (pushClient != null) {
+      records.refreshAllGradually(nowUs);
+      probePushSession();
+    }
+  }
+
+  private void probePushSession() {
+    if (pushClient != null) {
+      pushClient.probe(context.nowUs());
+    }
+  }
+
   private long nextUs() {
     long pushUs = pushClient == null ? TimingWheel.NEVER : pushClient.nextUs();
     return Math.min(records.nextUs(), Math.min(serialPoller.nextUs(), pushUs));
--- a/src/main/java/dunlinhitch/discovery/dnssd/PushClient.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/PushClient.java
@@ -48,6 +48,16 @@
     return session.isUp();
   }
 
+  /** Returns true while the session is up and its server has confirmed that it supports DSO. */
+  boolean isEstablished() {
+    return session.isEstablished();
+  }
+
+  /** Requests a sign of life from the server; a session without one ends. */
+  void probe(long nowUs) {
+    perform(session.probe(nowUs));
+  }
+
   /** Returns the latest time at which {@link #advance} must be called. */
   long nextUs() {
     return session.nextUs();
--- a/src/main/java/dunlinhitch/discovery/dnssd/PushSession.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/PushSession.java
@@ -27,6 +27,10 @@
   static final int MAX_PENDING_SUBSCRIPTIONS = 256;
 
   private static final long CONNECT_TIMEOUT_US = 5_000_000;
+
+  /** Time limit of the response to {@link #probe}. */
+  private static final long PROBE_TIMEOUT_US = 1_000_000;
+
   private static final JitteredBackoff RECONNECT = new JitteredBackoff(500_000, 60_000_000, 0.5, 1);
 
   /** Keep-alive interval until the server sets one (RFC 8490 section 6.2). */
@@ -93,6 +97,11 @@
   /** True once the server has answered the first keep-alive, which shows that it supports DSO. */
   private boolean established;
 
+  /** Message id of the unanswered probe, or {@link #UNIDIRECTIONAL} if there is none. */
+  private int probeId = UNIDIRECTIONAL;
+
+  private long probeTimeoutUs = TimingWheel.NEVER;
+
   /** Subscriptions that await their response, by message id. */
   private final Map<Integer, Question> pendingSubscriptions = new HashMap<>();
 
@@ -112,7 +121,7 @@
     return switch (phase) {
       case DISCONNECTED -> reconnectUs;
       case CONNECTING -> TimingWheel.NEVER;
-      case UP -> Math.min(keepaliveDueUs(), inactivityTimeoutUs());
+      case UP -> Math.min(probeTimeoutUs, Math.min(keepaliveDueUs(), inactivityTimeoutUs()));
     };
   }
 
@@ -133,12 +142,33 @@
     return phase == Phase.UP;
   }
 
+  /** Returns true while there is a connection whose server has confirmed that it supports DSO. */
+  boolean isEstablished() {
+    return phase == Phase.UP && established;
+  }
+
+  /**
+   * Requests a sign of life from the server, because a change may have been missed. A session whose
+   * server does not respond in time ends.
+   */
+  List<Action> probe(long nowUs) {
+    List<Action> actions = new ArrayList<>();
+    if (isEstablished() && probeId == UNIDIRECTIONAL) {
+      probeId = sendKeepalive(nowUs, actions);
+      probeTimeoutUs = nowUs + PROBE_TIMEOUT_US;
+    }
+    return actions;
+  }
+
   /** Performs the work that is due at {@code nowUs}. */
   List<Action> onTimer(long nowUs) {
     List<Action> actions = new ArrayList<>();
     if (phase == Phase.DISCONNECTED && nowUs >= reconnectUs) {
       phase = Phase.CONNECTING;
       actions.add(new Connect(nowUs + CONNECT_TIMEOUT_US));
+    } else if (phase == Phase.UP && nowUs >= probeTimeoutUs) {
+      actions.add(new Close("the server does not respond to a keep-alive"));
+      disconnect(nowUs, actions, nextBackoffUs());
     } else if (phase == Phase.UP && nowUs >= inactivityTimeoutUs()) {
       actions.add(new Close("no message from the server for two keep-alive intervals"));
       disconnect(nowUs, actions, nextBackoffUs());
@@ -221,6 +251,9 @@
   }
 
   private void onResponse(DsoMessage message, List<Action> actions) throws IOException {
+    if (message.head().id() == probeId) {
+      endProbe();
+    }
     int rcode = message.head().rcode();
     Question key = pendingSubscriptions.remove(message.head().id());
     if (key != null) {
@@ -234,6 +267,11 @@
     onKeepaliveResponse(message);
   }
 
+  private void endProbe() {
+    probeId = UNIDIRECTIONAL;
+    probeTimeoutUs = TimingWheel.NEVER;
+  }
+
   private void onSubscribeResponse(Question key, Head head, List<Action> actions) {
     if (head.rcode() == NOERROR) {
       subscriptions.put(key, head.id());
@@ -301,6 +339,7 @@
     subscriptions.clear();
     pendingSubscriptions.clear();
     rejectedSubscriptions.clear();
+    endProbe();
   }
 
   private int nextMessageId() {
@@ -308,9 +347,12 @@
     return lastMessageId;
   }
 
-  private void sendKeepalive(long nowUs, List<Action> actions) {
+  /** Sends a keep-alive and returns its message id. */
+  private int sendKeepalive(long nowUs, List<Action> actions) {
     Tlv tlv = Dso.keepalive(DEFAULT_KEEPALIVE_US / US_PER_MS, keepaliveIntervalUs / US_PER_MS);
-    send(nowUs, actions, nextMessageId(), tlv);
+    int id = nextMessageId();
+    send(nowUs, actions, id, tlv);
+    return id;
   }
 
   private void send(long nowUs, List<Action> actions, int id, Tlv tlv) {
--- a/src/main/java/dunlinhitch/discovery/dnssd/RecordCache.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/RecordCache.java
@@ -293,6 +293,14 @@
     }
   }
 
+  /** Compares each set that no push session follows, since changes cannot be announced. */
+  void compareAllSoon() {
+    for (RecordSet set : sets.values()) {
+      updateState(set, set::onChangeSuspected);
+      compareAfter(set, 0);
+    }
+  }
+
   /** Compares the sets in doubt, because the server answers again. */
   void compareDoubtful() {
     sets.values().forEach(set -> compareAfter(set, 0));
--- a/src/main/java/dunlinhitch/discovery/dnssd/ServiceRecords.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/ServiceRecords.java
@@ -118,6 +118,12 @@
     cache.compareAllNow();
   }
 
+  /** Like {@link #refreshAll}, but spread over time, for regular use. */
+  void refreshAllGradually(long nowUs) {
+    cache.advance(nowUs);
+    cache.compareAllSoon();
+  }
+
   /** Handles a query that ended without a usable response. */
   void onFailure(long nowUs, Question question) {
     cache.advance(nowUs);
--- a/src/main/java/dunlinhitch/experiments/dns/FakeNameServer.java
+++ b/src/main/java/dunlinhitch/experiments/dns/FakeNameServer.java
@@ -107,6 +107,12 @@
   /** Milliseconds between a change and its push notification. */
   public volatile long pushDelayMs;
 
+  /** If true, new push sessions are closed at once. */
+  public volatile boolean refusesSessions;
+
+  /** If true, subscriptions are accepted, but no record is pushed. */
+  public volatile boolean pushesNothing;
+
   /** Listens on a free loopback port. */
   public FakeNameServer(Vertx vertx, Zone zone) throws Exception {
     this.vertx = vertx;
@@ -190,11 +196,19 @@
                     new PemKeyCertOptions()
                         .addCertValue(Buffer.buffer(bundle.getCertificatePathPEM()))
                         .addKeyValue(Buffer.buffer(bundle.getPrivateKeyPEM()))));
-    push.connectHandler(socket -> new Session(socket));
+    push.connectHandler(this::accept);
     await(push.listen(0, "127.0.0.1"));
     return push.actualPort();
   }
 
+  private void accept(NetSocket socket) {
+    if (refusesSessions) {
+      socket.close();
+    } else {
+      new Session(socket);
+    }
+  }
+
   /** The PEM file with the trust anchor of the push listener; null before {@link #startPush}. */
   public Path trust() {
     return trust;
@@ -222,6 +236,11 @@
                 .onComplete(v -> s.socket.close()));
   }
 
+  /** Makes the open push sessions ignore and send nothing from now on, and stay open. */
+  public void silenceSessions() {
+    sessions.forEach(session -> session.silent = true);
+  }
+
   /** Sends a retry delay to all push sessions. */
   public void retryDelay(long ms) {
     sessions.forEach(s -> s.socket.write(Dso.write(new Head(0, false, 0), Dso.retryDelay(ms))));
@@ -368,6 +387,7 @@
     private final NetSocket socket;
     private final Map<Integer, Question> subscriptionsById = new HashMap<>();
     private final Consumer<List<PushChange>> listener;
+    private volatile boolean silent;
 
     Session(NetSocket socket) {
       this.socket = socket;
@@ -405,6 +425,9 @@
 
     /** Sends changes in as many messages as needed. */
     private void push(List<PushChange> changes) {
+      if (silent || pushesNothing) {
+        return;
+      }
       for (int from = 0; from < changes.size(); from += MAX_CHANGES_PER_MESSAGE) {
         socket.write(
             Dso.write(
@@ -416,6 +439,9 @@
     }
 
     private void onMessage(byte[] bytes) {
+      if (silent) {
+        return;
+      }
       try {
         DsoMessage message = Dso.read(bytes);
         Tlv first = message.tlvs().get(0);
--- a/src/main/java/dunlinhitch/experiments/dns/Zone.java
+++ b/src/main/java/dunlinhitch/experiments/dns/Zone.java
@@ -80,6 +80,11 @@
     return List.copyOf(recordSets.getOrDefault(key, Set.of()));
   }
 
+  /** Returns the names and types of all record sets. */
+  public synchronized List<Question> keys() {
+    return List.copyOf(recordSets.keySet());
+  }
+
   private synchronized boolean exists(Name name) {
     return recordSets.keySet().stream()
         .anyMatch(key -> key.name().equals(name) || key.name().subdomain(name));
--- a/src/test/java/dunlinhitch/discovery/dnssd/PushSessionTest.java
+++ b/src/test/java/dunlinhitch/discovery/dnssd/PushSessionTest.java
@@ -1,6 +1,7 @@
 package dunlinhitch.discovery.dnssd;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dunlinhitch.discovery.dnssd.Dso.DsoMessage;
@@ -112,4 +113,26 @@
     reconnect();
     assertTrue(hasClose(receiveRequest(Dso.keepalive(1, 500))));
   }
+
+  /** Guards against a session whose connection has fallen silent and which counts as up. */
+  @Test
+  void aSessionThatDoesNotAnswerAProbeEnds() throws IOException {
+    reconnect();
+    assertEquals(List.of(), session.probe(nowUs), "not before the server has confirmed DSO");
+    receive(new Head(1, true, 0), Dso.keepalive(15_000, 15_000));
+    int id = sentMessages(session.probe(nowUs)).get(0).head().id();
+    assertEquals(List.of(), session.probe(nowUs), "one probe at a time");
+    nowUs += US_PER_SECOND / 2;
+    receive(new Head(id, true, 0), Dso.keepalive(15_000, 15_000));
+    assertEquals(List.of(), session.onTimer(nowUs + US_PER_SECOND), "the server has answered");
+    session.probe(nowUs);
+    receiveRequest(Dso.push(List.of(new PushChange(true, POINTERS, null))));
+    nowUs += US_PER_SECOND;
+    assertEquals(nowUs, session.nextUs());
+    assertTrue(hasClose(session.onTimer(nowUs)), "a push may have been sent before the probe");
+    nowUs = session.nextUs();
+    reconnect();
+    assertFalse(
+        hasClose(session.onTimer(nowUs + 2 * US_PER_SECOND)), "a new session is not probed");
+  }
 }
--- a/src/test/java/dunlinhitch/server/DnsDiscoveryTest.java
+++ b/src/test/java/dunlinhitch/server/DnsDiscoveryTest.java
@@ -266,6 +266,76 @@
     await(() -> fixture.counter("members_withdrawn") == 1);
   }
 
+  /** What makes the records' changes unseen. */
+  enum Gap {
+    SESSION_LOST,
+    SESSION_LOST_FOR_GOOD,
+    SESSION_SILENT,
+    NOTHING_PUSHED
+  }
+
+  /**
+   * Guards against an endpoint that gets work without end because its record was withdrawn while no
+   * push session reported it, or while a silent one seemed to be up.
+   */
+  @ParameterizedTest
+  @EnumSource(Gap.class)
+  void recordWithdrawnUnseenIsWithdrawnWithinTheBound(Gap gap) throws Exception {
+    prepare(Wire.FRAMES);
+    responder.pushesNothing = gap == Gap.NOTHING_PUSHED;
+    start(true, 0);
+    assertEquals("whole", ask(0, 1, 2, 3).outcome());
+    if (gap == Gap.SESSION_LOST || gap == Gap.SESSION_LOST_FOR_GOOD) {
+      responder.refusesSessions = true;
+      responder.cutSessions(false);
+      await(() -> fixture.counter("push_ended") >= 1);
+    }
+    if (gap == Gap.SESSION_SILENT) {
+      responder.silenceSessions();
+    }
+    zone.remove(pointer(firstStore));
+    responder.refusesSessions = gap == Gap.SESSION_LOST_FOR_GOOD;
+    long withdrawnNs = System.nanoTime();
+    await(() -> fixture.counter("members_withdrawn") == 1);
+    long seenMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - withdrawnNs);
+    System.out.println("withdrawn unseen, " + gap + ": noticed after " + seenMs + " ms");
+    firstStore.receivedParts.clear();
+    for (int i = 0; i < 5; i++) {
+      assertEquals("whole", ask(0, 1, 2, 3).outcome());
+    }
+    assertEquals(0, firstStore.receivedParts.size(), "a withdrawn endpoint got a new part");
+    assertEquals(0, fixture.counter("faults"));
+  }
+
+  /** Guards against a change between the first answer and the first subscription after a start. */
+  @Test
+  void recordWithdrawnBeforeTheFirstSubscriptionIsWithdrawn() throws Exception {
+    prepare(Wire.FRAMES);
+    responder.refusesSessions = true;
+    Address pushed = new Address("localhost", responder.startPush(folder));
+    fixture.start(
+        BrokerFixture.settings(300),
+        new Product.DnsService(
+            "main",
+            List.of(new Address("127.0.0.1", responder.port())),
+            SERVICE,
+            List.of(),
+            1,
+            null,
+            0,
+            pushed,
+            responder.trust(),
+            null,
+            4096));
+    client = Client.http(fixture.httpPort);
+    await(() -> fixture.counter("roster_news") >= 1);
+    responder.script = question -> question.type() == Type.SOA ? Fault.REFUSED : Fault.NONE;
+    zone.remove(pointer(firstStore));
+    responder.refusesSessions = false;
+    await(() -> fixture.counter("members_withdrawn") == 1);
+    assertEquals("whole", ask(0, 1, 2, 3).outcome());
+  }
+
   /**
    * Malformed push messages; {@link #lostAndForgedAnswersWithdrawNothing} covers malformed answers.
    */
