A start counts no missed changes; what a gap has hidden has a test

Seen in a trial with 300 instances on four servers: at a start whose push session was quicker than the first answer, the log said "299 new" and dns_changes_missed rose by 1,316, though nothing had been missed. Cause: every addition to a set in doubt was counted, also to one that had never been listed. Change: only changes of what had been listed count.

--- a/src/main/java/dunlinhitch/discovery/dnssd/DoubtMonitor.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/DoubtMonitor.java
@@ -31,7 +31,7 @@
   private boolean reportedAsLong;
   private Report ended;
 
-  /** Handles a transition of one set and the records that it changed. */
+  /** Handles a transition of one set and what it changed of the records that had been listed. */
   void onTransition(State before, State after, Change change, long nowUs) {
     if (before != State.IN_DOUBT && after == State.IN_DOUBT) {
       begin(nowUs);
--- a/src/main/java/dunlinhitch/discovery/dnssd/RecordCache.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/RecordCache.java
@@ -341,12 +341,14 @@
 
   private RecordSet.Change update(RecordSet set, LongFunction<RecordSet.Change> transition) {
     RecordSet.State before = set.state();
+    boolean wasListed = set.isListed();
     RecordSet.Change change = transition.apply(++sequence);
     if (set.state() == RecordSet.State.FOLLOWED) {
       set.failures = 0;
       cancelQuery(set);
     }
-    doubts.onTransition(before, set.state(), change, nowUs);
+    RecordSet.Change missed = wasListed ? change : RecordSet.Change.NONE;
+    doubts.onTransition(before, set.state(), missed, nowUs);
     return change;
   }
 }
--- a/src/main/java/dunlinhitch/discovery/dnssd/RecordSet.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/RecordSet.java
@@ -46,10 +46,6 @@
    */
   record Change(List<Record> added, List<Record> removed) {
     static final Change NONE = new Change(List.of(), List.of());
-
-    int size() {
-      return added.size() + removed.size();
-    }
   }
 
   /**
--- a/src/test/java/dunlinhitch/discovery/dnssd/RecordGapsTest.java
+++ b/src/test/java/dunlinhitch/discovery/dnssd/RecordGapsTest.java
@@ -1,6 +1,7 @@
 package dunlinhitch.discovery.dnssd;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetAddress;
@@ -425,6 +426,25 @@
     assertTrue(others.size() > 1, "the other sets are compared, too");
   }
 
+  /** Guards against an operator who cannot see what a gap has hidden, or sees one at each start. */
+  @Test
+  void theReportNamesWhatWasMissedAndWhatStaysInDoubt() {
+    DoubtMonitor.Report start = records.drainDoubtReport(nowUs);
+    assertEquals(0, start.added() + start.removed() + start.pending());
+    assertNull(records.drainDoubtReport(nowUs));
+    endSession();
+    zone.remove(pointer("one"));
+    long lostUs = nowUs;
+    nowUs += BOUND_US;
+    failAll(records);
+    DoubtMonitor.Report inDoubt = records.drainDoubtReport(nowUs);
+    assertEquals(new DoubtMonitor.Report(6, 0, 0, nowUs - lostUs, 6), inDoubt);
+    assertNull(records.drainDoubtReport(nowUs), "a long period is reported once");
+    pass(BOUND_US);
+    DoubtMonitor.Report ended = records.drainDoubtReport(nowUs);
+    assertEquals(new DoubtMonitor.Report(6, 0, 1, ended.durationUs(), 0), ended);
+  }
+
   /** Guards against saved claims that are withdrawn by a list of which only a part was pushed. */
   @Test
   void savedClaimsOutliveAnIncompleteList() {
