--- a/src/test/java/dunlinhitch/experiments/testbed/DeployedArgumentsIT.java
+++ b/src/test/java/dunlinhitch/experiments/testbed/DeployedArgumentsIT.java
@@ -10,8 +10,6 @@
 import io.vertx.core.Vertx;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -21,39 +19,16 @@
 /** A broker process that the deploy file's command starts with arguments behind it. */
 class DeployedArgumentsIT {
   private static final int MEMORY_MB = 192;
-  private static final int SOCKETS = 1_024;
   private static final int SHARDS = 1;
   private static final int TTL_S = 120;
   private static final String SERVICE = "_calendar._tcp.rooms.example.org.";
 
   @TempDir private Path directory;
-  private int port;
-
-  private Process start(String... arguments) throws Exception {
-    BrokerLaunch launch = BrokerLaunch.deployed(List.of(), SOCKETS, MEMORY_MB);
-    port = FreePorts.tcp();
-    Path config = directory.resolve("config.json");
-    Files.writeString(
-        config,
-        String.format(
-            Locale.ROOT,
-            "{\"name\":\"n0\",\"listen\":\"127.0.0.1:%d\",\"discovery\":\"127.0.0.1:%d\","
-                + "\"limits\":%s,\"settings\":%s}",
-            port,
-            FreePorts.tcp(),
-            launch.limits(),
-            String.format(Locale.ROOT, TestBedPlan.STANDARD_SETTINGS, 1, SHARDS, SHARDS)));
-    ProcessBuilder builder =
-        new ProcessBuilder(launch.command(arguments))
-            .redirectErrorStream(true)
-            .redirectOutput(directory.resolve("output.txt").toFile());
-    builder.environment().put("ROUTER_CONFIG", config.toString());
-    builder.environment().put("TMPDIR", Files.createDirectory(directory.resolve("tmp")).toString());
-    return builder.start();
-  }
+  private int queries;
 
-  private String output() throws Exception {
-    return Files.readString(directory.resolve("output.txt"));
+  private DeployedBroker start(String... arguments) throws Exception {
+    int discoveryPort = FreePorts.tcp(); // nothing listens there
+    return new DeployedBroker(directory, discoveryPort, MEMORY_MB, SHARDS, arguments);
   }
 
   /** Guards against a broker that serves without the settings file that was named to it. */
@@ -73,13 +48,10 @@
               + "\nservice "
               + SERVICE;
       Path file = Files.writeString(directory.resolve("own settings.conf"), settings + "\n");
-      Process broker = start("--conf", file.toString());
-      try {
-        TestBed.await("the broker listens", 40, () -> output().contains("listens on "));
-        Client client = Client.http(port);
+      try (DeployedBroker broker = start("--conf", file.toString())) {
+        broker.awaitListening();
+        Client client = Client.http(broker.port);
         TestBed.await("a query is served from the records", 40, () -> ask(client));
-      } finally {
-        broker.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
       }
     } finally {
       store.close();
@@ -87,8 +59,6 @@
     }
   }
 
-  private int queries;
-
   private boolean ask(Client client) throws Exception {
     Map<String, String> headers = Map.of("X-Trace-Id", "q" + ++queries, "X-Expires-In", "1.000");
     return client
@@ -101,12 +71,11 @@
   /** Guards against arguments that are dropped in place of refused. */
   @Test
   void anUnknownArgumentEndsTheProcessWithItsError() throws Exception {
-    Process broker = start("--unknown", "a b");
-    boolean ended = broker.waitFor(20, TimeUnit.SECONDS);
-    broker.destroyForcibly();
-    assertTrue(ended, output());
-    assertEquals(2, broker.exitValue(), output());
-    assertEquals(1, output().lines().count(), output());
-    assertTrue(output().contains("--unknown"), output());
+    try (DeployedBroker broker = start("--unknown", "a b")) {
+      assertTrue(broker.process.waitFor(20, TimeUnit.SECONDS), broker.output());
+      assertEquals(2, broker.process.exitValue(), broker.output());
+      assertEquals(1, broker.output().lines().count(), broker.output());
+      assertTrue(broker.output().contains("--unknown"), broker.output());
+    }
   }
 }
--- a/src/test/java/dunlinhitch/experiments/testbed/FlightStoresIT.java
+++ b/src/test/java/dunlinhitch/experiments/testbed/FlightStoresIT.java
@@ -7,10 +7,8 @@
 import dunlinhitch.experiments.fakes.Discovery;
 import dunlinhitch.experiments.fakes.FlightStore;
 import io.vertx.core.Vertx;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -20,7 +18,6 @@
 class FlightStoresIT {
   private static final int MEMORY_MB = 128;
   private static final int KB_PER_MB = 1_024;
-  private static final int SOCKETS = 1_024;
   private static final int QUERIES = 200;
 
   /** A broker refuses queries while it opens its first connections. */
@@ -42,20 +39,17 @@
     try (Discovery discovery = new Discovery(vertx)) {
       discovery.setList(
           Discovery.entry(first, "here", 0, "ready"), Discovery.entry(second, "here", 1, "ready"));
-      int port = FreePorts.tcp();
-      Process broker = start(port, discovery.port());
-      try {
-        TestBed.await("the broker listens", 40, () -> outputOf(broker).contains("listens on "));
-        Client client = Client.http(port);
+      try (DeployedBroker broker =
+          new DeployedBroker(directory, discovery.port(), MEMORY_MB, SHARDS)) {
+        broker.awaitListening();
+        Client client = Client.http(broker.port);
         for (int i = 0; i < QUERIES; i++) {
-          assertEquals("whole", ask(client, i), output());
+          assertEquals("whole", ask(client, i), broker.output());
         }
-        long peakMb = ProcessStatus.peakResidentKb(broker.pid()) / KB_PER_MB;
+        long peakMb = ProcessStatus.peakResidentKb(broker.process.pid()) / KB_PER_MB;
         System.out.println("beside Flight stores: " + peakMb + " MB");
         assertTrue(peakMb < MEMORY_MB, peakMb + " MB");
-        assertEquals(List.of(), output().lines().filter(TestBed::isSuspicious).toList());
-      } finally {
-        broker.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+        assertEquals(List.of(), broker.output().lines().filter(TestBed::isSuspicious).toList());
       }
     } finally {
       first.close();
@@ -81,35 +75,4 @@
     }
     return outcome;
   }
-
-  private Process start(int port, int discoveryPort) throws Exception {
-    BrokerLaunch launch = BrokerLaunch.deployed(List.of(), SOCKETS, MEMORY_MB);
-    Path config = directory.resolve("config.json");
-    Files.writeString(
-        config,
-        String.format(
-            Locale.ROOT,
-            "{\"name\":\"n0\",\"listen\":\"127.0.0.1:%d\",\"discovery\":\"127.0.0.1:%d\","
-                + "\"limits\":%s,\"settings\":%s}",
-            port,
-            discoveryPort,
-            launch.limits(),
-            String.format(Locale.ROOT, TestBedPlan.STANDARD_SETTINGS, 1, SHARDS, SHARDS)));
-    ProcessBuilder builder =
-        new ProcessBuilder(launch.command())
-            .redirectErrorStream(true)
-            .redirectOutput(directory.resolve("output.txt").toFile());
-    builder.environment().put("ROUTER_CONFIG", config.toString());
-    builder.environment().put("TMPDIR", Files.createDirectory(directory.resolve("tmp")).toString());
-    return builder.start();
-  }
-
-  private String outputOf(Process broker) throws Exception {
-    assertTrue(broker.isAlive(), () -> "the broker exited: " + broker.exitValue());
-    return output();
-  }
-
-  private String output() throws Exception {
-    return Files.readString(directory.resolve("output.txt"));
-  }
 }
--- a/src/test/java/dunlinhitch/server/DnsDiscoveryTest.java
+++ b/src/test/java/dunlinhitch/server/DnsDiscoveryTest.java
@@ -95,20 +95,7 @@
 
   private void start(boolean push, long soaEveryUs) throws Exception {
     Address pushed = push ? new Address("localhost", responder.startPush(folder)) : null;
-    fixture.start(
-        BrokerFixture.settings(300),
-        new Product.DnsService(
-            "main",
-            List.of(new Address("127.0.0.1", responder.port())),
-            SERVICE,
-            List.of(),
-            1,
-            null,
-            soaEveryUs,
-            pushed,
-            push ? responder.trust() : null,
-            null,
-            4096));
+    fixture.start(BrokerFixture.settings(300), service(soaEveryUs, pushed));
     client = Client.http(fixture.httpPort);
     await(
         () ->
@@ -313,20 +300,7 @@
     prepare(Wire.FRAMES);
     responder.refusesSessions = true;
     Address pushed = new Address("localhost", responder.startPush(folder));
-    fixture.start(
-        BrokerFixture.settings(300),
-        new Product.DnsService(
-            "main",
-            List.of(new Address("127.0.0.1", responder.port())),
-            SERVICE,
-            List.of(),
-            1,
-            null,
-            0,
-            pushed,
-            responder.trust(),
-            null,
-            4096));
+    fixture.start(BrokerFixture.settings(300), service(0, pushed));
     client = Client.http(fixture.httpPort);
     await(() -> fixture.counter("roster_news") >= 1);
     responder.script = question -> question.type() == Type.SOA ? Fault.REFUSED : Fault.NONE;
@@ -397,7 +371,7 @@
         });
   }
 
-  private Product.DnsService serviceWithoutPush() {
+  private Product.DnsService service(long soaEveryUs, Address push) {
     return new Product.DnsService(
         "main",
         List.of(new Address("127.0.0.1", responder.port())),
@@ -405,9 +379,9 @@
         List.of(),
         1,
         null,
-        0,
-        null,
-        null,
+        soaEveryUs,
+        push,
+        push == null ? null : responder.trust(),
         null,
         4096);
   }
@@ -424,7 +398,7 @@
     responder.script = q -> Fault.LOST;
     BrokerFixture again = new BrokerFixture();
     again.stateDirectory = fixture.stateDirectory;
-    again.start(BrokerFixture.settings(300), serviceWithoutPush());
+    again.start(BrokerFixture.settings(300), service(0, null));
     client = Client.http(again.httpPort);
     assertEquals("whole", ask(0, 1, 2, 3).outcome());
     assertTrue(
@@ -438,7 +412,7 @@
     Files.write(file, bytes);
     BrokerFixture third = new BrokerFixture();
     third.stateDirectory = fixture.stateDirectory;
-    third.start(BrokerFixture.settings(300), serviceWithoutPush());
+    third.start(BrokerFixture.settings(300), service(0, null));
     assertEquals(1, third.logLines.stream().filter(line -> line.contains("set aside")).count());
     assertTrue(Files.exists(folder.resolve("state/roster.state.damaged")));
     third.close();
