Saved claims are settled only by a list that is evidence of absence

Callers would have seen: after a restart with state_dir, a store that the first answer does not name is withdrawn, though that answer came without authority.

Change: a list counts as received once a complete answer with the AA bit has come; what is still saved then is withdrawn, and before it the saved claims serve for their time.

--- a/src/main/java/dunlinhitch/discovery/dnssd/RecordSet.java
+++ b/src/main/java/dunlinhitch/discovery/dnssd/RecordSet.java
@@ -71,7 +71,7 @@
   /** True once an answer to a query, possibly a negative one, has been received. */
   private boolean queried;
 
-  /** True once a complete answer to a query, possibly a negative one, has been received. */
+  /** True once a complete and authoritative answer, possibly a negative one, has been received. */
   private boolean listed;
 
   /** Sequence number of the last doubt. */
@@ -121,7 +121,7 @@
     return state != State.UNKNOWN;
   }
 
-  /** Returns true once a complete answer, possibly a negative one, has been received. */
+  /** Returns true once a complete and authoritative answer has been received. */
   boolean isListed() {
     return listed;
   }
@@ -182,7 +182,7 @@
     ttlUs = answer.ttlUs();
     expiresUs = nowUs + ttlUs;
     queried = true;
-    listed |= answer.complete();
+    listed |= answer.complete() && answer.authoritative();
     boolean settles = current && !holdsRemoval && (answer.complete() || state == State.UNKNOWN);
     state = settles ? State.CACHED : State.IN_DOUBT;
     followIfConfirmed();
--- a/src/test/java/dunlinhitch/discovery/dnssd/RecordGapsTest.java
+++ b/src/test/java/dunlinhitch/discovery/dnssd/RecordGapsTest.java
@@ -458,4 +458,33 @@
     assertEquals(List.of(), update.claims());
     assertEquals(false, update.snapshot());
   }
+
+  /** Guards against saved claims that are withdrawn by a list that is no evidence of absence. */
+  @ParameterizedTest
+  @ValueSource(ints = {Flags.TC, Flags.AA})
+  void savedClaimsOutliveAListThatIsTruncatedOrWithoutAuthority(int flag) {
+    ServiceRecords started = browse(LIST.name());
+    claims.clear();
+    started.restore(List.of("one._calendar._tcp.example.org.|h.:9|0"));
+    zone.remove(pointer("one"));
+    List<Question> due = started.startQueries(nowUs);
+    while (!due.isEmpty()) {
+      for (Question question : due) {
+        Message answer = zoneResponse(question);
+        if (flag == Flags.TC) {
+          answer.getHeader().setFlag(flag);
+        } else {
+          answer.getHeader().unsetFlag(flag);
+        }
+        started.onResponse(nowUs, question, answer);
+      }
+      ServiceRecords.ClaimUpdate update = started.drainClaims(nowUs);
+      assertEquals(false, update.snapshot());
+      assertTrue(update.claims().stream().allMatch(claim -> claim.endpoint() != null));
+      due = started.startQueries(nowUs);
+    }
+    started.refreshAll(nowUs);
+    respondToAll(started);
+    assertTrue(snapshotReceived, "an authoritative list settles the saved claims");
+  }
 }
